--- /dev/null
+++ b/linnetshift/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and outcomes, in no particular wire."""
--- /dev/null
+++ b/linnetshift/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, fronts and peers around the broker."""
--- a/caperfold/decide.py
+++ b/linnetshift/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of a caperfold node. The types it speaks are in `caperfold/interface.py`.
+"""Every decision of a linnetshift node. The types it speaks are in `linnetshift/interface.py`.
 
 Ordinary path: weighted rendezvous hashing. A request's key (its group, else its client) is hashed
 once and mixed with the hash of each listed host; the host with the highest -weight / log(h) gets it.
@@ -16,8 +16,8 @@
 import numpy as np
 import numpy.typing as npt
 
-from caperfold import interface as api
-from caperfold.interface import Effect, HostState, ListForm, Outcome, Scope
+from linnetshift import interface as api
+from linnetshift.interface import Effect, HostState, ListForm, Outcome, Scope
 
 MASK = (1 << 64) - 1
 # The finalizer of splitmix64: every input bit reaches every output bit, where a bare XOR skews shares.
--- a/caperfold/wire.py
+++ b/linnetshift/wire.py
@@ -6,7 +6,7 @@
 from struct import Struct
 from typing import NamedTuple
 
-from caperfold import interface as api
+from linnetshift import interface as api
 
 
 class WireError(ValueError):
--- a/caperfold/drill.py
+++ b/linnetshift/wirehost.py
@@ -10,9 +10,9 @@
 import sys
 from typing import BinaryIO
 
-from caperfold import interface as api
-from caperfold import wire
-from caperfold.decide import Balancer
+from linnetshift import interface as api
+from linnetshift import wire
+from linnetshift.policy import Balancer
 
 
 def create(event: wire.Create) -> Balancer:
@@ -74,7 +74,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"caperfold: {error}", file=sys.stderr)
+        print(f"linnetshift: {error}", file=sys.stderr)
         return 1
     except BrokenPipeError:
         return 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from caperfold import interface as api
-from caperfold.decide import Balancer
+from linnetshift import interface as api
+from linnetshift.policy import Balancer
 
 MS = 1_000_000
 S = 1_000_000_000
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,9 +4,9 @@
 
 from conftest import MS, S, balancer, ended, entry, host, listed, only, raw_settings, request
 
-from caperfold import interface as api
-from caperfold.decide import Balancer
-from caperfold.interface import HostState, ListForm, Outcome
+from linnetshift import interface as api
+from linnetshift.interface import HostState, ListForm, Outcome
+from linnetshift.policy import Balancer
 
 
 def ready(node: Balancer) -> set[bytes]:
--- a/tests/test_ranking.py
+++ b/tests/test_ranking.py
@@ -5,8 +5,8 @@
 import numpy as np
 from conftest import S, balancer, entry, host, listed, only, raw_settings, request
 
-from caperfold import interface as api
-from caperfold.decide import MASK, Balancer, costs, mix64
+from linnetshift import interface as api
+from linnetshift.policy import MASK, Balancer, costs, mix64
 
 
 def first_hosts(node: Balancer, keys: range) -> dict[int, bytes]:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -5,9 +5,9 @@
 import pytest
 from conftest import MS, S, balancer, effect, ended, entry, host, listed, only, request
 
-from caperfold import interface as api
-from caperfold.decide import Balancer
-from caperfold.interface import Outcome
+from linnetshift import interface as api
+from linnetshift.interface import Outcome
+from linnetshift.policy import Balancer
 
 
 def test_full_and_failed_connects_go_to_the_next_rank() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,9 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from caperfold import interface as api
-from caperfold.decide import Balancer
-from caperfold.interface import HostState, ListForm, Outcome
+from linnetshift import interface as api
+from linnetshift.interface import HostState, ListForm, Outcome
+from linnetshift.policy import Balancer
 
 FAILURES = [Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET]
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,8 +11,8 @@
 import pytest
 from conftest import MS, S, entry, host, raw_settings
 
-from caperfold import drill, wire
-from caperfold import interface as api
+from linnetshift import interface as api
+from linnetshift import wire, wirehost
 
 
 def frame(*records: bytes, now: int = S, count: int | None = None) -> bytes:
@@ -110,22 +110,22 @@
 @pytest.mark.parametrize("data", MALFORMED.values(), ids=MALFORMED.keys())
 def test_a_malformed_frame_ends_the_adapter_with_one_plain_line(data: bytes) -> None:
     run = subprocess.run(
-        [sys.executable, "-m", "caperfold.drill"], input=data, capture_output=True, timeout=60
+        [sys.executable, "-m", "linnetshift.wirehost"], input=data, capture_output=True, timeout=60
     )
     assert run.returncode == 1 and run.stdout == b""
-    assert run.stderr.count(b"\n") == 1 and run.stderr.startswith(b"caperfold: ")
+    assert run.stderr.count(b"\n") == 1 and run.stderr.startswith(b"linnetshift: ")
 
 
 def test_empty_batches_and_end_of_input() -> None:
     run = subprocess.run(
-        [sys.executable, "-m", "caperfold.drill"], input=frame() * 2, capture_output=True, timeout=60
+        [sys.executable, "-m", "linnetshift.wirehost"], input=frame() * 2, capture_output=True, timeout=60
     )
     assert (run.returncode, run.stdout, run.stderr) == (0, struct.pack(">I", 4) * 2, b"")
 
 
 def replies(*frames: bytes) -> bytes:
     sink = io.BytesIO()
-    drill.serve(io.BytesIO(b"".join(frames)), sink)
+    wirehost.serve(io.BytesIO(b"".join(frames)), sink)
     return sink.getvalue()
 
 
