Serve the platform's protocol on real sockets round the module

Built: an epoll loop of generator actors, the platform's front, one link for each attempt, the directory over h11, a planned departure, and a broker that knows requests, attempts and outcomes only.

--- /dev/null
+++ b/linnetshift/core/broker.py
@@ -0,0 +1,281 @@
+"""Requests, attempts and outcomes: what happens goes to the decision module, what it says is done.
+
+The broker knows no wire and no socket. Fronts hand it invocations; providers tell it what became of
+attempts. Everything that comes in waits in one inbox and is decided in one `step`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import count
+
+from linnetshift import interface as api
+from linnetshift.contracts import Contracts
+from linnetshift.core.gauge import MessageGauge
+from linnetshift.core.invocation import Attempt, Consumer, Invocation
+from linnetshift.core.ports import Directory, Providers, Timers
+from linnetshift.interface import Outcome
+from linnetshift.policy import Balancer
+
+# A connection that brings nothing back must be ended or moved within 7 s; this is looked at once a second.
+SILENT_NS = 4_000_000_000
+
+
+class Broker:
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Callable[[], int],
+        timers: Timers,
+        directory: Directory,
+        providers: Providers,
+        contracts: Contracts,
+    ) -> None:
+        self.settings = settings
+        self.balancer = Balancer(settings, seed)
+        self.clock, self.timers, self.directory, self.providers = clock, timers, directory, providers
+        self.contracts = contracts
+        self.inbox: list[api.Event] = []
+        self.invocations: dict[int, Invocation] = {}
+        self.ids = count(1)
+        self.zones: dict[bytes, int] = {}
+        self.gauge = MessageGauge(min(c.message_aim_ns for c in settings.classes))
+
+    def post(self, event: api.Event) -> None:
+        if not self.inbox:
+            self.timers.soon()
+        self.inbox.append(event)
+
+    def drain(self) -> None:
+        events, self.inbox = self.inbox, []
+        if not events:
+            return
+        for action in self.balancer.step(self.clock(), events):
+            self.perform(action)
+
+    def perform(self, action: api.Action) -> None:
+        match action:
+            case api.Send(request, host, timeout_ns):
+                self.send(request, host, timeout_ns)
+            case api.Refuse(request, retry_after_ns):
+                self.reject(request, retry_after_ns)
+            case api.Fail(request):
+                if (invocation := self.answer(request)) is not None:
+                    invocation.consumer.fail()
+            case api.Move(request):
+                self.move(request, "moved")
+            case api.Cancel(request, number):
+                self.cancel(request, number)
+            case api.SetTimer(delay_ns, token):
+                self.timers.wake(delay_ns, token)
+            case api.Watch(on):
+                self.directory.watch(on)
+            case api.FetchList():
+                self.directory.fetch()
+            case api.Probe(host):
+                self.providers.probe(host)
+            case _:
+                pass  # there are no peers to tell, and the module's log lines are the bench's
+
+    # ---- what comes in ----------------------------------------------------------------------
+
+    def timer_fired(self, token: int) -> None:
+        self.post(api.TimerFired(token))
+
+    def listed(self, event: api.HostList) -> None:
+        for entry in event.entries:
+            self.zones[entry.host] = entry.zone
+        self.post(event)
+
+    def probed(self, provider: bytes, outcome: Outcome, elapsed_ns: int, report: tuple[float, ...]) -> None:
+        self.post(api.ProbeResult(provider, outcome, elapsed_ns, report))
+
+    def invoke(self, invocation: Invocation) -> None:
+        """One final answer is owed from here on."""
+        invocation.id, invocation.began = next(self.ids), self.clock()
+        breach = self.contracts.admit(invocation.tenant, invocation.klass, invocation.flags, invocation.began)
+        if breach is not None:
+            invocation.answered = True
+            invocation.consumer.reject(breach.wait_ns, breach.limit)
+            return
+        self.invocations[invocation.id] = invocation
+        if invocation.adopt:
+            self.open(invocation, invocation.adopt, invocation.deadline)
+            return
+        left = max(1, invocation.deadline - invocation.began)
+        self.post(
+            api.Request(
+                invocation.id,
+                invocation.klass,
+                invocation.group,
+                invocation.key,
+                invocation.hint,
+                invocation.flags,
+                invocation.tenant,
+                left,
+            )
+        )
+
+    def up(self, attempt: Attempt, receipt: memoryview) -> None:
+        """The provider serves: the final answer, and the start of the standing connection."""
+        invocation, now = attempt.invocation, self.clock()
+        attempt.standing = invocation.answered = True
+        if invocation.adopt:
+            self.post(
+                api.Adopted(
+                    invocation.id,
+                    invocation.klass,
+                    invocation.group,
+                    invocation.key,
+                    invocation.hint,
+                    invocation.flags,
+                    invocation.tenant,
+                    attempt.provider,
+                )
+            )
+        else:
+            self.post(api.Established(invocation.id, attempt.number, attempt.provider, now - attempt.began))
+        invocation.consumer.up(receipt)
+
+    def ended(self, attempt: Attempt, outcome: Outcome, reset: bool = False) -> None:
+        """The link is closed: before the connection stood the module may try again, afterwards it is over."""
+        invocation = attempt.invocation
+        if invocation.out is not attempt:
+            return
+        invocation.out = None
+        if attempt.standing or invocation.answered:
+            self.forget(invocation)
+            if attempt.standing:
+                invocation.consumer.provider_ended(outcome, reset)
+        elif invocation.adopt:
+            self.forget(invocation)
+            invocation.answered = True
+            invocation.consumer.fail()
+            return
+        self.tell_ended(attempt, outcome)
+
+    def tell_ended(self, attempt: Attempt, outcome: int) -> None:
+        elapsed = self.clock() - attempt.began
+        invocation = attempt.invocation
+        self.post(
+            api.AttemptEnded(
+                invocation.id, attempt.number, attempt.provider, invocation.answered, elapsed, outcome, ()
+            )
+        )
+
+    def consumer_ended(self, invocation: Invocation, reset: bool) -> None:
+        """The consumer left, or has been sent away."""
+        if invocation.id not in self.invocations:
+            return
+        attempt, waiting = invocation.out, not invocation.answered
+        invocation.answered, invocation.out = True, None
+        self.forget(invocation)
+        if waiting and not invocation.adopt:
+            self.post(api.Withdrawn(invocation.id))
+        if attempt is None:
+            return
+        if attempt.link is not None:
+            if attempt.standing:
+                attempt.link.consumer_ended(reset)
+            else:
+                attempt.link.abandon()
+        if attempt.standing or not invocation.adopt:
+            self.tell_ended(attempt, attempt.verdict)
+
+    def answered_in(self, attempt: Attempt, elapsed_ns: int) -> None:
+        """A provider's reply to a consumer's message came after so long."""
+        zone = self.zones.get(attempt.provider)
+        far = zone if zone != self.settings.zone else None
+        self.gauge.answered(attempt.provider, far, elapsed_ns, self.clock())
+
+    def load_told(self, attempt: Attempt, load: float) -> None:
+        self.note(attempt, api.LOAD_NOTE, load)
+
+    def review_messages(self) -> None:
+        """Once a second: note the providers whose messages are slow, each on one connection."""
+        standing: dict[bytes, list[Attempt]] = {}
+        for invocation in self.invocations.values():
+            attempt = invocation.out
+            if attempt is not None and attempt.standing:
+                standing.setdefault(attempt.provider, []).append(attempt)
+        waiting: dict[bytes, list[int]] = {}
+        for provider, attempts in standing.items():
+            waiting[provider] = [a.link.waiting_ns() for a in attempts if a.link is not None]
+            for attempt, age in zip(attempts, waiting[provider], strict=False):
+                if age > SILENT_NS and attempt.verdict == Outcome.CANCELLED:
+                    # A machine that vanished neither answers nor resets; the consumer is told to move.
+                    attempt.verdict = Outcome.RESET
+                    attempt.invocation.consumer.move("silent")
+        for provider, ms in self.gauge.review(waiting, self.clock()):
+            self.note(standing[provider][0], api.SLOW_NOTE, ms)
+
+    def note(self, attempt: Attempt, kind: int, value: float) -> None:
+        self.post(api.Note(attempt.invocation.id, attempt.number, attempt.provider, kind, value))
+
+    # ---- what the module says ---------------------------------------------------------------
+
+    def send(self, request: int, provider: bytes, timeout_ns: int) -> None:
+        invocation = self.invocations.get(request)
+        if invocation is None or invocation.answered or invocation.out is not None:
+            # Withdrawn in the meantime. Two attempts of one request must never be out together.
+            number = 0 if invocation is None else invocation.attempts
+            self.post(api.AttemptEnded(request, number, provider, True, 0, Outcome.MOOT, ()))
+            return
+        left = invocation.deadline - self.clock()
+        within = min(timeout_ns, left) if timeout_ns > 0 else left
+        self.open(invocation, provider, self.clock() + within)
+
+    def open(self, invocation: Invocation, provider: bytes, deadline: int) -> None:
+        attempt = Attempt(invocation, invocation.attempts, provider, self.clock(), deadline)
+        invocation.attempts += 1
+        invocation.out = attempt
+        self.providers.open(attempt)
+
+    def reject(self, request: int, retry_after_ns: int = 0) -> None:
+        if (invocation := self.answer(request)) is not None:
+            invocation.consumer.reject(retry_after_ns, "")
+
+    def answer(self, request: int) -> Invocation | None:
+        """The invocation to give its one final answer, unless it has had it."""
+        invocation = self.invocations.get(request)
+        if invocation is None or invocation.answered:
+            return None
+        invocation.answered = True
+        attempt = invocation.out
+        self.forget(invocation)
+        if attempt is not None:
+            invocation.out = None
+            if attempt.link is not None:
+                attempt.link.abandon()
+            self.tell_ended(attempt, Outcome.CANCELLED)
+        return invocation
+
+    def cancel(self, request: int, number: int) -> None:
+        invocation = self.invocations.get(request)
+        attempt = invocation.out if invocation is not None else None
+        if attempt is None or attempt.number != number or attempt.standing:
+            return
+        if attempt.link is not None:
+            attempt.link.abandon()
+        self.ended(attempt, Outcome.CANCELLED)
+
+    def move(self, request: int, reason: str) -> None:
+        invocation = self.invocations.get(request)
+        if invocation is not None and invocation.out is not None and invocation.out.standing:
+            invocation.consumer.move(reason)
+
+    def forget(self, invocation: Invocation) -> None:
+        if self.invocations.pop(invocation.id, None) is not None:
+            self.contracts.release(invocation.tenant, invocation.klass)
+
+    # ---- leaving ----------------------------------------------------------------------------
+
+    def standing(self) -> list[Invocation]:
+        return [i for i in self.invocations.values() if i.out is not None and i.out.standing]
+
+    def unanswered(self) -> list[Invocation]:
+        return [i for i in self.invocations.values() if not i.answered]
+
+
+__all__ = ["Attempt", "Broker", "Consumer", "Invocation"]
--- /dev/null
+++ b/linnetshift/core/invocation.py
@@ -0,0 +1,84 @@
+"""An invocation asks for one connection; an attempt tries to have one provider serve it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from linnetshift.interface import Outcome
+
+
+class Consumer(Protocol):
+    """The side that asked. Messages are slices that hold only until the call returns."""
+
+    @property
+    def congested(self) -> bool:
+        """Whether messages should wait; `Link.resume` is called once they need not."""
+
+    def up(self, receipt: memoryview) -> None: ...
+
+    def deliver(self, message: memoryview) -> None: ...
+
+    def resume(self) -> None: ...
+
+    def reject(self, retry_after_ns: int, breach: str) -> None:
+        """Final answer: not done, and coming back is harmless; `breach` names a contract's limit."""
+
+    def fail(self) -> None: ...
+
+    def move(self, reason: str) -> None:
+        """Send the consumer away politely, between two messages."""
+
+    def provider_ended(self, outcome: int, reset: bool) -> None: ...
+
+
+class Link(Protocol):
+    """The connection to a provider that an attempt uses."""
+
+    @property
+    def congested(self) -> bool: ...
+
+    def deliver(self, message: memoryview) -> None: ...
+
+    def resume(self) -> None: ...
+
+    def waiting_ns(self) -> int:
+        """How long the oldest message that wants a reply has waited for it."""
+
+    def consumer_ended(self, reset: bool) -> None:
+        """End it the way the consumer ended its own."""
+
+    def abandon(self) -> None:
+        """Close it now and report nothing more."""
+
+
+@dataclass(slots=True, eq=False)
+class Invocation:
+    consumer: Consumer
+    klass: int
+    tenant: int
+    key: int
+    group: int
+    flags: int
+    hint: int
+    deadline: int  # on the broker's clock
+    opening: Callable[[int], bytes]  # what the provider is told first, given the ms it will be waited for
+    adopt: bytes = b""  # the provider that held this connection before the start
+    id: int = 0
+    began: int = 0
+    attempts: int = 0
+    out: Attempt | None = None  # the attempt that is under way or stands
+    answered: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    invocation: Invocation
+    number: int
+    provider: bytes
+    began: int
+    deadline: int
+    link: Link | None = None
+    standing: bool = False
+    verdict: int = Outcome.CANCELLED  # how it ends when the consumer's side ends it
--- /dev/null
+++ b/linnetshift/net/log.py
@@ -0,0 +1,81 @@
+"""Log lines of key=value pairs, and the codes for why a connection ended."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from enum import Enum
+from typing import Any
+
+
+class Reason(Enum):
+    """Why a connection ended; every ended connection leaves one line with one of these."""
+
+    SERVED = "served"  # its provider said BYE
+    CONSUMER_LEFT = "consumer-left"
+    CONSUMER_RESET = "consumer-reset"
+    PROVIDER_LEFT = "provider-left"
+    PROVIDER_RESET = "provider-reset"
+    SENT_AWAY = "sent-away"  # a draining provider said MOVE
+    MOVED = "moved"  # this proxy said MOVE
+    SILENT = "silent"  # moved, since its provider brought nothing back
+    STALLED = "stalled"  # its consumer stopped reading
+    REJECTED = "rejected"
+    FAILED = "failed"
+    WITHDRAWN = "withdrawn"  # the consumer left before the answer
+    BAD_LINE = "bad-line"
+    SLOW_OPENER = "slow-opener"
+    PROBED = "probed"  # a front asked whether this proxy is ready
+    EMPTY = "empty"  # ended without a line
+    UNREACHABLE = "unreachable"
+    TURNED_AWAY = "turned-away"
+    ERROR = "error"
+    TIMED_OUT = "timed-out"
+    ABANDONED = "abandoned"
+    SHUT_DOWN = "shut-down"
+    CHANNEL_CLOSED = "channel-closed"
+    PROTOCOL_ERROR = "protocol-error"
+
+
+class KeyValueFormatter(logging.Formatter):
+    """`ts=... level=... event=... key=value ...`; values with blanks or quotes are quoted."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        pairs: dict[str, Any] = {
+            "ts": f"{stamp}.{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "event": record.getMessage(),
+        }
+        pairs.update(getattr(record, "pairs", {}))
+        if record.exc_info:
+            pairs["trace"] = self.formatException(record.exc_info)
+        return " ".join(f"{key}={self.quote(value)}" for key, value in pairs.items())
+
+    @staticmethod
+    def quote(value: object) -> str:
+        text = str(value.value if isinstance(value, Enum) else value)
+        if text and not any(c <= " " or c in '"=\\' for c in text):
+            return text
+        escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n").replace("\r", "\\r")
+        return f'"{escaped}"'
+
+
+logger = logging.getLogger("linnetshift")
+
+
+def note(event: str, **pairs: object) -> None:
+    logger.info(event, extra={"pairs": pairs})
+
+
+def ended(side: str, reason: Reason, **pairs: object) -> None:
+    """The one line that an ended connection leaves."""
+    note("ended", side=side, reason=reason, **pairs)
+
+
+def set_up() -> None:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(KeyValueFormatter())
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
--- /dev/null
+++ b/linnetshift/net/module.py
@@ -0,0 +1,80 @@
+"""The decision module's actor, and the one that empties this proxy before a planned stop."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from linnetshift.core.broker import Broker
+from linnetshift.net import log
+from linnetshift.net.loop import MS, Actor, Loop, S, Script, Timeout
+
+REVIEW_NS = S  # how often message times are looked at
+
+
+class Module(Actor):
+    """Lets the broker decide on all that has come in at one turn of the loop together."""
+
+    broker: Broker
+
+    def soon(self) -> None:
+        self.post(None)
+
+    def wake(self, delay_ns: int, token: int) -> None:
+        self.loop.call_later(delay_ns, lambda: self.broker.timer_fired(token))
+
+    def live(self) -> Script:
+        self.alarm(REVIEW_NS, "review")
+        while True:
+            if (yield) == Timeout("review"):
+                self.alarm(REVIEW_NS, "review")
+                self.broker.review_messages()
+            else:
+                self.broker.drain()
+
+
+# On a planned stop new connections keep arriving for up to 0.4 s; the kill comes no earlier than the
+# longest deadline (3 s at least) and 0.7 s after the signal.
+ACCEPT_NS = 600 * MS
+LEAST_DEADLINE_NS, KILL_NS = 3 * S, 700 * MS
+SPARE_NS = 350 * MS  # kept free before the kill, for the last answers and moves to be written
+STEP_NS = 50 * MS
+
+
+class Departure(Actor):
+    """Answers everything, moves every consumer away at an even pace, and stops the loop."""
+
+    def __init__(
+        self, loop: Loop, broker: Broker, close: Callable[[], None], held: Callable[[], int]
+    ) -> None:
+        super().__init__(loop)
+        self.broker, self.close, self.held = broker, close, held
+
+    def live(self) -> Script:
+        began = self.loop.now()
+        longest = max(LEAST_DEADLINE_NS, *(c.deadline_ns for c in self.broker.settings.classes))
+        end = began + longest + KILL_NS - SPARE_NS
+        paced_until = began + (end - began) * 2 // 3
+        log.note("leaving", standing=len(self.broker.standing()))
+        accepting = True
+        while self.loop.now() < end:
+            self.alarm(STEP_NS, "step")
+            yield
+            now = self.loop.now()
+            if now >= began + ACCEPT_NS:
+                if accepting:
+                    accepting = False
+                    self.close()
+                standing = self.broker.standing()
+                steps = max(1, (paced_until - now) // STEP_NS)
+                for invocation in standing[: -(-len(standing) // steps)]:
+                    self.broker.move(invocation.id, "moved")
+                if not self.held():
+                    break
+        for invocation in self.broker.unanswered():
+            self.broker.reject(invocation.id)
+        for invocation in self.broker.standing():
+            self.broker.move(invocation.id, "moved")
+        self.alarm(2 * STEP_NS, "flush")
+        yield
+        log.note("left", held=self.held())
+        self.loop.stopped = True
--- /dev/null
+++ b/linnetshift/net/platform.py
@@ -0,0 +1,386 @@
+"""The platform's front: consumers that open with one line, and fronts that ask whether we are ready."""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+from collections.abc import Callable
+from typing import NamedTuple
+
+from linnetshift import interface as api
+from linnetshift.core.broker import Broker
+from linnetshift.core.invocation import Invocation
+from linnetshift.interface import Outcome
+from linnetshift.net import log
+from linnetshift.net.log import Reason
+from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
+from linnetshift.net.provider import Endpoint, Resume, Steps, linger
+from linnetshift.net.stream import End, LineTooLong, Stream
+
+OPENER_NS = 5 * S  # how long a consumer may take over its first line
+STALL_NS = 7 * S  # how long a consumer may leave everything unread
+ANSWER_NS = 4 * MS  # answers leave this much before the consumer gives up
+ACCEPTS = 64  # at one turn of the loop
+PAUSE_NS = 50 * MS  # without descriptors, how long nothing is accepted
+
+
+class BadLine(ValueError):
+    """A first line that is none of the protocol's."""
+
+
+class Names:
+    """Places of classes, tenants, zones and kinds in the settings' lists.
+
+    A name that the settings do not know gets the place past the end, except for a class.
+    """
+
+    def __init__(self, settings: dict[str, object]) -> None:
+        self.classes = self._places(settings.get("services"))
+        self.tenants = self._places(settings.get("tenants"))
+        self.zones = self._places(settings.get("zones"))
+        self.kinds = self._places(settings.get("models"))
+
+    @staticmethod
+    def _places(listed: object) -> dict[str, int]:
+        items = listed if isinstance(listed, list) else []
+        return {str(i.get("name") if isinstance(i, dict) else i): place for place, i in enumerate(items)}
+
+
+class Opening(NamedTuple):
+    """A first line, read."""
+
+    klass: int
+    tenant: int
+    key: int
+    group: int
+    flags: int
+    hint: int
+    wait_ns: int  # 0 where the line does not say
+    adopt: bytes
+    forward: Callable[[int], bytes]
+
+
+def parse_opening(line: bytes, names: Names) -> Opening:
+    words = line[:-2].split(b" ")
+    if not line.endswith(b"\r\n") or len(words) not in (3, 4) or words[0] != b"OPEN":
+        raise BadLine("not an OPEN line")
+    _hex(words[1])
+    pairs = [pair.partition(b"=") for pair in words[3].split(b",")] if len(words) == 4 else []
+    values = {name: value for name, _, value in pairs}
+    klass = names.classes.get(values.get(b"c", b"").decode("utf-8", "replace"))
+    if klass is None:
+        raise BadLine("unknown class")
+    tenant = values.get(b"t", b"").decode("utf-8", "replace")
+    flags = (api.RETRY if values.get(b"r") == b"1" else 0) | (
+        api.RETURNED if values.get(b"again") == b"1" else 0
+    )
+    wait = values.get(b"d", b"0")
+    if not wait.isdigit() or len(wait) > 9:
+        raise BadLine("bad deadline")
+
+    def forward(left_ms: int) -> bytes:
+        told = b",".join(
+            name + mark + (b"%d" % left_ms if name == b"d" else value) for name, mark, value in pairs
+        )
+        return b" ".join([*words[:3], told] if pairs else words) + b"\r\n"
+
+    return Opening(
+        klass=klass,
+        tenant=names.tenants.get(tenant, len(names.tenants)),
+        key=_hex(words[2]),
+        group=_hex(values.get(b"g", b"0")),
+        flags=flags,
+        hint=_hint(values.get(b"h", b"")),
+        wait_ns=int(wait) * MS,
+        adopt=values.get(b"at", b""),
+        forward=forward,
+    )
+
+
+def _hex(text: bytes) -> int:
+    if not 0 < len(text) <= 16 or not all(c in b"0123456789abcdefABCDEF" for c in text):
+        raise BadLine("bad hexadecimal number")
+    return int(text, 16)
+
+
+def _hint(text: bytes) -> int:
+    """A guess at the load; a site that gives none, or one out of range, counts as no guess."""
+    try:
+        value = float(text or b"0")
+    except ValueError:
+        return 0
+    return int(value) if 0.0 <= value < 2.0**63 else 0
+
+
+class Rejected(NamedTuple):
+    retry_after_ns: int
+    breach: str
+
+
+class Failed(NamedTuple):
+    pass
+
+
+class Moving(NamedTuple):
+    reason: str
+
+
+class ProviderEnded(NamedTuple):
+    outcome: int
+    reset: bool
+
+
+class PlatformConsumer(Actor):
+    """One consumer's connection, from its first line to its end."""
+
+    def __init__(self, front: PlatformFront, sock: socket.socket, peer: Endpoint) -> None:
+        super().__init__(front.loop)
+        self.front, self.broker, self.peer = front, front.broker, peer
+        self.stream = Stream(self.loop, sock, self.ready)
+        self.began = self.loop.now()
+        self.invocation: Invocation | None = None
+        self.provider = b""
+        self.congested_at = 0
+
+    def ready(self, mask: int) -> None:
+        self.post(Io(mask))
+
+    # ---- the broker's and the provider's side -----------------------------------------------
+
+    @property
+    def congested(self) -> bool:
+        return self.stream.congested
+
+    def up(self, receipt: memoryview) -> None:
+        if self.invocation is not None and self.invocation.out is not None:
+            self.provider = self.invocation.out.provider
+        self.stream.send(receipt)
+        self.post(Resume())
+
+    def deliver(self, message: memoryview) -> None:
+        self.stream.send(message)
+        if self.stream.congested and not self.congested_at:
+            self.congested_at = self.loop.now()
+            self.alarm(STALL_NS, "stalled")
+
+    def resume(self) -> None:
+        self.post(Resume())
+
+    def reject(self, retry_after_ns: int, breach: str) -> None:
+        self.post(Rejected(retry_after_ns, breach))
+
+    def fail(self) -> None:
+        self.post(Failed())
+
+    def move(self, reason: str) -> None:
+        self.post(Moving(reason))
+
+    def provider_ended(self, outcome: int, reset: bool) -> None:
+        self.post(ProviderEnded(outcome, reset))
+
+    # ---- the script -------------------------------------------------------------------------
+
+    def live(self) -> Script:
+        self.front.consumers.add(self)
+        self.stream.arm()
+        reason = yield from self.open()
+        if reason is None:
+            reason = yield from self.wait()
+        if reason is None:
+            reason = yield from self.stand()
+        how = End.FIN
+        if reason in (Reason.PROVIDER_RESET, Reason.CONSUMER_RESET):
+            how = End.RESET
+        elif reason is not Reason.STALLED and not self.stream.broken:
+            self.stream.finish()
+            yield from linger(self, self.stream)
+        self.stream.close(how)
+        self.front.consumers.discard(self)
+        log.ended(
+            "consumer",
+            reason,
+            id=self.invocation.id if self.invocation is not None else 0,
+            peer=f"{self.peer[0]}:{self.peer[1]}",
+            provider=self.provider.decode("utf-8", "replace"),
+            attempts=self.invocation.attempts if self.invocation is not None else 0,
+            ms=(self.loop.now() - self.began) // MS,
+        )
+
+    def open(self) -> Steps:
+        """Read the first line and hand it in; the reason if nothing comes of it."""
+        timer = self.alarm(OPENER_NS, "opener")
+        arrived = self.loop.since
+        end = self.stream.fill()  # the line mostly comes with the connection
+        while True:
+            try:
+                line = self.stream.line()
+                if line is not None and bytes(line[:6]).rstrip() in (b"PING", b"STATS"):
+                    self.stream.send(self.front.readiness(bytes(line[:6])))
+                    continue
+                if line is not None:
+                    self.hand_in(parse_opening(bytes(line), self.front.names), arrived)
+                    timer.cancel()
+                    return None
+            except (BadLine, LineTooLong) as error:
+                log.note("bad-line", error=str(error) or "too long")
+                self.stream.send(FAILED)
+                return Reason.BAD_LINE
+            if end is not None:
+                asked = self.stream.start > 0
+                return Reason.PROBED if asked else Reason.EMPTY
+            match (yield):
+                case Io(mask):
+                    if mask & select.EPOLLOUT:
+                        self.stream.flush()
+                    arrived = self.loop.since
+                    end = self.stream.fill()
+                case Timeout(tag="opener"):
+                    self.stream.send(FAILED)
+                    return Reason.SLOW_OPENER
+
+    def hand_in(self, opening: Opening, arrived: int) -> None:
+        """`d` counts from the sending, which was before the loop saw it: the budget leaves room for that."""
+        wait = opening.wait_ns or self.broker.settings.classes[opening.klass].deadline_ns
+        self.invocation = Invocation(
+            self,
+            opening.klass,
+            opening.tenant,
+            opening.key,
+            opening.group,
+            opening.flags,
+            opening.hint,
+            arrived + wait - ANSWER_NS,
+            opening.forward,
+            opening.adopt,
+        )
+        self.broker.invoke(self.invocation)
+
+    def wait(self) -> Steps:
+        """Until the one answer; None when it is that the connection stands."""
+        invocation = self.invocation
+        assert invocation is not None
+        while True:
+            match (yield):
+                case Resume():
+                    return None
+                case Rejected(retry_after_ns):
+                    ms = -(-retry_after_ns // MS)
+                    self.stream.send(b"BUSY %d\r\n" % ms if ms else b"BUSY\r\n")
+                    return Reason.REJECTED
+                case Failed():
+                    self.stream.send(FAILED)
+                    return Reason.FAILED
+                case Io():
+                    end = self.stream.fill()
+                    if end is not None and not invocation.answered:
+                        self.broker.consumer_ended(invocation, end is End.RESET)
+                        self.stream.send(b"BUSY\r\n")  # it may have ended only its sending
+                        return Reason.WITHDRAWN
+                    # A consumer that talks on while it waits is read again once it is served.
+                    self.stream.want(self.stream.stop < len(self.stream.view) and end is None)
+
+    def stand(self) -> Steps:
+        """Messages both ways until one side ends."""
+        invocation, stream = self.invocation, self.stream
+        assert invocation is not None
+        end: End | None = None
+        self.pass_on(invocation)
+        while end is None:
+            match (yield):
+                case Io(mask):
+                    if mask & select.EPOLLOUT:
+                        stream.flush()
+                        if not stream.congested:
+                            self.congested_at = 0
+                            if invocation.out is not None and invocation.out.link is not None:
+                                invocation.out.link.resume()
+                    if mask & ~select.EPOLLOUT:
+                        end = stream.fill()
+                        self.pass_on(invocation)
+                    if stream.broken and end is None:
+                        end = End.RESET
+                case Resume():
+                    self.pass_on(invocation)
+                case ProviderEnded(outcome, reset):
+                    if reset:
+                        return Reason.PROVIDER_RESET
+                    if outcome == Outcome.OK:
+                        return Reason.SERVED
+                    return Reason.SENT_AWAY if outcome == Outcome.CANCELLED else Reason.PROVIDER_LEFT
+                case Moving(reason):
+                    stream.send(b"MOVE\r\n")  # what was sent before it were whole lines
+                    self.broker.consumer_ended(invocation, False)
+                    return Reason(reason)
+                case Timeout(tag="stalled") if self.congested_at:
+                    if self.loop.now() - self.congested_at >= STALL_NS:
+                        self.broker.consumer_ended(invocation, False)
+                        return Reason.STALLED
+        link = invocation.out.link if invocation.out is not None else None
+        if end is End.FIN and link is not None and (rest := stream.rest()):
+            link.deliver(rest)
+        self.broker.consumer_ended(invocation, end is End.RESET)
+        return Reason.CONSUMER_RESET if end is End.RESET else Reason.CONSUMER_LEFT
+
+    def pass_on(self, invocation: Invocation) -> None:
+        """Hand whole lines to the provider while it takes them; stop reading when it does not."""
+        link = invocation.out.link if invocation.out is not None else None
+        if link is None:
+            return
+        while not link.congested and (line := self.stream.line()) is not None:
+            link.deliver(line)
+        self.stream.want(not link.congested)
+
+
+FAILED = b"FAIL\r\n"
+
+
+class PlatformFront:
+    """Accepts consumers on the address that the platform gave."""
+
+    def __init__(self, loop: Loop, broker: Broker, names: Names, address: Endpoint) -> None:
+        self.loop, self.broker, self.names = loop, broker, names
+        self.consumers: set[PlatformConsumer] = set()
+        self.leaving = False
+        self.listener = listen(address)
+        self.accept_again()
+
+    def accept_again(self) -> None:
+        if self.listener.fileno() >= 0:
+            self.loop.watch(self.listener.fileno(), select.EPOLLIN, self.accept)
+
+    def accept(self, _mask: int) -> None:
+        for _ in range(ACCEPTS):
+            try:
+                sock, peer = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    # The backlog stays readable: without a pause this would spin until some end.
+                    self.loop.unwatch(self.listener.fileno())
+                    self.loop.call_later(PAUSE_NS, self.accept_again)
+                    log.note("accept-paused", error=error.strerror)
+                    return
+                continue  # the peer was gone before it was accepted
+            consumer = PlatformConsumer(self, sock, peer)
+            consumer.start(consumer.live())
+
+    def readiness(self, asked: bytes) -> bytes:
+        if not asked.startswith(b"PING"):
+            return b"NO\r\n"
+        return b"ERR\r\n" if self.leaving else b"PONG\r\n"
+
+    def close(self) -> None:
+        if self.listener.fileno() >= 0:
+            self.loop.unwatch(self.listener.fileno())
+            self.listener.close()
+
+
+def listen(address: Endpoint) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    listener.listen(1024)
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/linnetshift/net/provider.py
@@ -0,0 +1,361 @@
+"""Providers: one connection for each attempt, and probes."""
+
+from __future__ import annotations
+
+import errno
+import os
+import select
+import socket
+from collections.abc import Callable, Generator
+from typing import Any
+
+from linnetshift.core.broker import Broker
+from linnetshift.core.invocation import Attempt
+from linnetshift.interface import Outcome
+from linnetshift.net import log
+from linnetshift.net.log import Reason
+from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
+from linnetshift.net.stream import End, LineTooLong, Stream
+
+LINGER_NS = S // 2  # how long an ended connection waits for the peer's own end
+PROBE_NS = 200 * MS
+
+Endpoint = tuple[str, int]
+Steps = Generator[None, Any, Any]
+
+
+class Resume:
+    """The other side takes messages again."""
+
+
+class Hangup:
+    """The consumer's side has ended."""
+
+    def __init__(self, reset: bool) -> None:
+        self.reset = reset
+
+
+class Stop:
+    """The stream is closed already; only the script is still to end."""
+
+
+class Dialing(Actor):
+    """What connections to providers share: coming up within a limit, writing, and the first line."""
+
+    stream: Stream | None = None
+
+    def ready(self, mask: int) -> None:
+        self.post(Io(mask))
+
+    def connect(self, endpoint: Endpoint, limit_ns: int) -> Steps:
+        """Whether the connection came up in time."""
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # out of descriptors: the attempt never reached anyone
+            log.note("no-socket", provider=endpoint, error=error.strerror)
+            return False
+        self.stream = stream = Stream(self.loop, sock, self.ready)
+        try:
+            code = sock.connect_ex(endpoint)
+        except OSError as error:
+            code = error.errno or errno.EINVAL
+        if code not in (0, errno.EINPROGRESS):
+            return False
+        stream.connecting = code != 0
+        stream.arm()
+        timer = self.alarm(limit_ns, "connect")
+        while stream.connecting:
+            match (yield):
+                case Io():
+                    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                        return False
+                    stream.connecting = False
+                    stream.arm()
+                case Timeout(tag="connect") | Stop():
+                    return False
+        timer.cancel()
+        return True
+
+
+class ProviderLink(Dialing):
+    """One attempt's connection: the opening line, the answer to it, then messages both ways."""
+
+    def __init__(self, loop: Loop, broker: Broker, attempt: Attempt, endpoint: Endpoint) -> None:
+        super().__init__(loop)
+        self.broker, self.attempt, self.endpoint = broker, attempt, endpoint
+        self.asked_at = 0  # when a message went out that has no reply yet
+        self.last = Outcome.RESET  # what the end of the connection means, by the last line
+        self.hung_up = False
+        self.reason = Reason.ABANDONED
+
+    # ---- the broker's and the consumer's side -----------------------------------------------
+
+    @property
+    def congested(self) -> bool:
+        return self.stream is not None and self.stream.congested
+
+    def deliver(self, message: memoryview) -> None:
+        if self.stream is not None and not self.hung_up:
+            self.stream.send(message)
+            if not self.asked_at:
+                self.asked_at = self.loop.now()
+
+    def resume(self) -> None:
+        self.post(Resume())
+
+    def waiting_ns(self) -> int:
+        return self.loop.now() - self.asked_at if self.asked_at else 0
+
+    def consumer_ended(self, reset: bool) -> None:
+        self.hung_up = True
+        self.post(Hangup(reset))
+
+    def abandon(self) -> None:
+        """Closed here and now: the next attempt's first byte must not meet this one still out."""
+        self.hung_up = True
+        if self.stream is not None:
+            self.stream.close()
+        self.post(Stop())
+
+    # ---- the script -------------------------------------------------------------------------
+
+    def live(self) -> Script:
+        self.attempt.link = self
+        outcome = yield from self.open()
+        reset = False
+        if outcome is None:
+            reset = yield from self.relay()
+            outcome = self.last
+        if self.stream is not None:
+            if self.stream.closed:
+                self.reason = Reason.ABANDONED
+            self.stream.close(End.RESET if reset and self.hung_up else End.FIN)
+        log.ended(
+            "provider",
+            self.reason,
+            id=self.attempt.invocation.id,
+            attempt=self.attempt.number,
+            provider=self.attempt.provider.decode("utf-8", "replace"),
+            ms=(self.loop.now() - self.attempt.began) // MS,
+        )
+        if not self.hung_up:
+            self.hung_up = True
+            self.broker.ended(self.attempt, outcome, reset)
+
+    def open(self) -> Steps:
+        """The outcome, or None once the connection stands."""
+        limit = min(self.broker.settings.connect_timeout_ns, self.attempt.deadline - self.loop.now())
+        up = yield from self.connect(self.endpoint, limit)
+        if not up:
+            self.reason = Reason.ABANDONED if self.hung_up else Reason.UNREACHABLE
+            return Outcome.CONNECT_FAILED
+        stream = self.stream
+        assert stream is not None
+        left = self.attempt.deadline - self.loop.now()
+        stream.send(self.attempt.invocation.opening(max(1, left // MS)))
+        timer = self.alarm(left, "answer")
+        outcome = yield from self.first_answer(stream)
+        timer.cancel()
+        return outcome
+
+    def first_answer(self, stream: Stream) -> Steps:
+        while True:
+            match (yield):
+                case Io(mask):
+                    if mask & select.EPOLLOUT:
+                        stream.flush()
+                    unsent = stream.congested or stream.broken
+                    if mask & ~select.EPOLLOUT:
+                        end = stream.fill()
+                        outcome = self.judge(stream)
+                        if outcome is not NOT_YET:
+                            return outcome
+                        if end is not None:
+                            self.reason = Reason.PROVIDER_RESET if end is End.RESET else Reason.PROVIDER_LEFT
+                            return Outcome.CONNECT_FAILED if unsent else Outcome.RESET
+                case Timeout(tag="answer"):
+                    self.reason = Reason.TIMED_OUT
+                    return Outcome.TIMEOUT
+                case Stop():
+                    return Outcome.CANCELLED
+
+    def judge(self, stream: Stream) -> Outcome | None:
+        """What the first line means; None where it stands, NOT_YET before it is whole."""
+        try:
+            line = stream.line()
+        except LineTooLong:
+            self.reason = Reason.BAD_LINE
+            return Outcome.ERROR
+        if line is None:
+            return NOT_YET
+        word, _, _ = bytes(line[:64]).strip().partition(b" ")
+        if word == b"UP":
+            self.broker.up(self.attempt, line)
+            return None
+        self.reason, outcome = ANSWERS.get(word, (Reason.ERROR, Outcome.ERROR))
+        return outcome
+
+    def relay(self) -> Steps:
+        """Messages both ways until one side ends; whether it ended with a reset."""
+        stream = self.stream
+        assert stream is not None
+        consumer = self.attempt.invocation.consumer
+        end = self.pass_on(stream)
+        while end is None:
+            match (yield):
+                case Io(mask):
+                    if mask & select.EPOLLOUT:
+                        stream.flush()
+                        if not stream.congested:
+                            consumer.resume()
+                    if mask & ~select.EPOLLOUT:
+                        end = stream.fill()
+                        end = self.pass_on(stream) or end
+                    if stream.broken and end is None:
+                        end = End.RESET
+                case Resume():
+                    end = self.pass_on(stream)
+                case Hangup(reset=True):
+                    self.reason = Reason.CONSUMER_RESET
+                    return True
+                case Hangup():
+                    self.reason = Reason.CONSUMER_LEFT
+                    stream.finish()
+                    yield from linger(self, stream)
+                    return False
+                case Stop():
+                    return False
+        if end is End.FIN and (rest := stream.rest()):
+            consumer.deliver(rest)
+        if self.last is Outcome.OK:
+            self.reason = Reason.SERVED
+        elif self.last is Outcome.CANCELLED:
+            self.reason = Reason.SENT_AWAY
+        else:
+            self.reason = Reason.PROVIDER_RESET if end is End.RESET else Reason.PROVIDER_LEFT
+        return end is End.RESET
+
+    def pass_on(self, stream: Stream) -> End | None:
+        """Hand whole lines to the consumer while it takes them; stop reading when it does not."""
+        consumer = self.attempt.invocation.consumer
+        if self.hung_up:
+            stream.rest()
+            return None
+        try:
+            while not consumer.congested and (line := stream.line()) is not None:
+                self.heed(line)
+                consumer.deliver(line)
+        except LineTooLong:
+            return End.RESET
+        stream.want(not consumer.congested)
+        return None
+
+    def heed(self, line: memoryview) -> None:
+        """What a line tells the proxy; it is passed on all the same."""
+        text = bytes(line[:64]).strip()
+        if text.startswith(b"LOAD "):
+            try:
+                self.broker.load_told(self.attempt, float(text[5:]))
+            except ValueError:
+                log.note("bad-load", provider=self.attempt.provider.decode("utf-8", "replace"))
+            return
+        self.last = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}.get(text, Outcome.RESET)
+        if self.asked_at:
+            self.broker.answered_in(self.attempt, self.loop.now() - self.asked_at)
+            self.asked_at = 0
+
+
+NOT_YET = Outcome.MOOT
+ANSWERS = {
+    b"ERR": (Reason.ERROR, Outcome.ERROR),
+    b"BUSY": (Reason.TURNED_AWAY, Outcome.FULL),
+    b"MOVE": (Reason.SENT_AWAY, Outcome.CANCELLED),
+}
+
+
+def linger(actor: Actor, stream: Stream) -> Steps:
+    """Read on until the peer ends too: closing with bytes unread would reset what is still on its way."""
+    timer = actor.alarm(LINGER_NS, "linger")
+    stream.want(True)
+    while not stream.broken:
+        match (yield):
+            case Io(mask):
+                if mask & select.EPOLLOUT:
+                    stream.flush()
+                if mask & ~select.EPOLLOUT:
+                    end = stream.fill()
+                    stream.rest()
+                    if end is not None:
+                        break
+            case Timeout(tag="linger") | Stop():
+                break
+    timer.cancel()
+
+
+class Prober(Dialing):
+    """One probe of a provider: PING, or STATS where reports are to be had."""
+
+    def live(self, endpoint: Endpoint, told: Callable[[Outcome, int], None]) -> Script:
+        began = self.loop.now()
+        outcome = Outcome.CONNECT_FAILED
+        up = yield from self.connect(endpoint, PROBE_NS)
+        stream = self.stream
+        if up and stream is not None:
+            stream.send(b"PING\r\n")
+            outcome = yield from self.answer(stream, PROBE_NS)
+        if stream is not None:
+            stream.close()
+        told(outcome, self.loop.now() - began)
+
+    def answer(self, stream: Stream, limit_ns: int) -> Steps:
+        timer = self.alarm(limit_ns, "probe")
+        while True:
+            match (yield):
+                case Io(mask):
+                    if mask & select.EPOLLOUT:
+                        stream.flush()
+                    end = stream.fill()
+                    line = stream.line()
+                    if line is not None:
+                        timer.cancel()
+                        return Outcome.OK if bytes(line).strip() == b"PONG" else Outcome.ERROR
+                    if end is not None:
+                        timer.cancel()
+                        return Outcome.RESET
+                case Timeout(tag="probe"):
+                    return Outcome.TIMEOUT
+
+
+class ProviderGate:
+    """Opens attempts at the endpoints that the directory last gave."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self.endpoints: dict[bytes, Endpoint] = {}
+        self.broker: Broker | None = None
+
+    def open(self, attempt: Attempt) -> None:
+        assert self.broker is not None
+        endpoint = self.endpoints.get(attempt.provider)
+        if endpoint is None:
+            self.broker.ended(attempt, Outcome.CONNECT_FAILED)
+            return
+        link = ProviderLink(self.loop, self.broker, attempt, endpoint)
+        link.start(link.live())
+
+    def probe(self, provider: bytes) -> None:
+        broker = self.broker
+        assert broker is not None
+        endpoint = self.endpoints.get(provider)
+        if endpoint is None:
+            broker.probed(provider, Outcome.CONNECT_FAILED, 0, ())
+            return
+        prober = Prober(self.loop)
+        prober.start(prober.live(endpoint, lambda o, ns: broker.probed(provider, o, ns, ())))
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    address, _, port = text.rpartition(":")
+    if not address or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{os.fsdecode(text)!r} is not ADDRESS:PORT")
+    return address, int(port)
