--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -2,71 +2,28 @@
 
 from __future__ import annotations
 
-import json
 import os
+import select
 import signal
 import socket
 import sys
-from typing import Any, NamedTuple
 
-from linnetshift import interface as api
-from linnetshift.contracts import Contracts
 from linnetshift.core.broker import Broker
 from linnetshift.net import log
-from linnetshift.net.directory import Directory, Roster, read_list
+from linnetshift.net.channels import ChannelsFront
+from linnetshift.net.config import BrokerFile, Config, ConfigError, read_broker_file, read_config
+from linnetshift.net.directory import Directory, Roster
 from linnetshift.net.loop import Loop
-from linnetshift.net.module import Departure, Module
-from linnetshift.net.platform import Names, PlatformFront
-from linnetshift.net.provider import Endpoint, ProviderGate, parse_endpoint
-
-
-class ConfigError(Exception):
-    """The configuration cannot be used; the text says why in one line."""
-
-
-class Config(NamedTuple):
-    name: str
-    listen: Endpoint
-    directory: Endpoint
-    seed: int
-    known: Roster
-    settings: api.Settings
-    names: Names
-
-
-def read_config(path: str | None) -> Config:
-    if not path:
-        raise ConfigError("GW_CONFIG does not name a configuration file")
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw: Any = json.load(file)
-    except OSError as error:
-        raise ConfigError(f"cannot read {path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{path} is not JSON: {error}") from None
-    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
-        raise ConfigError(f"{path} holds no settings")
-    try:
-        names = Names(raw["settings"])
-        return Config(
-            name=str(raw.get("name", "")),
-            listen=parse_endpoint(str(raw["listen"])),
-            directory=parse_endpoint(str(raw["discovery"])),
-            seed=int(str(raw.get("seed", "0")), 16),
-            known=read_list(raw.get("known", {"targets": []}), names, cached=True),
-            settings=api.Settings.parse(raw["settings"]),
-            names=names,
-        )
-    except KeyError as error:
-        raise ConfigError(f"{path}: key {error} is missing") from None
-    except (ValueError, TypeError, AttributeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
+from linnetshift.net.module import Departure, Module, Mover
+from linnetshift.net.platform import PlatformFront
+from linnetshift.net.provider import ProviderGate
+from linnetshift.net.vrrp import Vrrp
 
 
 class Program:
     """All parts of one proxy, wired."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, own: BrokerFile) -> None:
         self.loop = loop = Loop()
         self.gate = ProviderGate(loop)
         self.directory = Directory(
@@ -74,18 +31,40 @@
         )
         self.module = Module(loop)
         self.broker = self.module.broker = self.gate.broker = Broker(
-            config.settings, config.seed, loop.now, self.module, self.directory, self.gate, Contracts()
+            config.settings, config.seed, loop.now, self.module, self.directory, self.gate, own.contracts
         )
         self.module.start(self.module.live())
         self.directory.start(self.directory.live())
         self.listed(config.known)
         self.front = PlatformFront(loop, self.broker, config.names, config.listen)
+        self.channels: ChannelsFront | None = None
+        self.vrrp: Vrrp | None = None
+        if own.channels is not None:
+            self.channels = ChannelsFront(loop, self.broker, config.names, own.channels)
+            if own.vrrp is None:
+                self.channels.open()
+            else:
+                self.vrrp = Vrrp(loop, own.vrrp, self.elected)
+                self.vrrp.start(self.vrrp.live())
         self.departing = False
 
     def listed(self, roster: Roster) -> None:
         self.gate.endpoints.update(roster.endpoints)
         self.broker.listed(roster.event)
 
+    def elected(self, active: bool) -> None:
+        """The channels front listens only while active; its channels move once it no longer is."""
+        assert self.channels is not None
+        if active:
+            self.channels.open()
+        else:
+            self.channels.leave()
+            mover = Mover(self.loop, self.broker, self.channels)
+            mover.start(mover.live())
+
+    def held(self) -> int:
+        return len(self.front.consumers) + (len(self.channels.sessions) if self.channels is not None else 0)
+
     def catch_signals(self) -> None:
         """Python's own handler runs between two instructions; the byte it leaves wakes the poll."""
         reader, writer = socket.socketpair()
@@ -95,21 +74,29 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: None)
         self.signals = reader, writer
-        self.loop.watch(reader.fileno(), 1, self.signalled)
+        self.loop.watch(reader.fileno(), select.EPOLLIN, self.signalled)
 
     def signalled(self, _mask: int) -> None:
         self.signals[0].recv(64)
-        if not self.departing:
-            self.departing = self.front.leaving = True
-            departure = Departure(self.loop, self.broker, self.front.close, lambda: len(self.front.consumers))
-            departure.start(departure.live())
+        if self.departing:
+            return
+        self.departing = self.front.leaving = True
+        if self.vrrp is not None:
+            self.vrrp.stop()
+        departure = Departure(self.loop, self.broker, self.stop_listening, self.held)
+        departure.start(departure.live())
+
+    def stop_listening(self) -> None:
+        self.front.close()
+        if self.channels is not None:
+            self.channels.leave()
 
 
 def main() -> int:
     log.set_up()
     try:
         config = read_config(os.environ.get("GW_CONFIG"))
-        program = Program(config)
+        program = Program(config, read_broker_file(os.environ.get("LINNETSHIFT_BROKER"), config.names))
     except ConfigError as error:
         print(f"linnetshift: {error}", file=sys.stderr)
         return 2
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -267,7 +267,7 @@
 
     def forget(self, invocation: Invocation) -> None:
         if self.invocations.pop(invocation.id, None) is not None:
-            self.contracts.release(invocation.tenant, invocation.klass)
+            self.contracts.release(invocation.tenant)
 
     # ---- leaving ----------------------------------------------------------------------------
 
--- /dev/null
+++ b/linnetshift/net/channels.py
@@ -0,0 +1,495 @@
+"""The channels front: many invocations in one connection, as channels of SSH's connection protocol.
+
+RFC 4254 over RFC 4253's packets, without the cryptography. Each CHANNEL_OPEN is an invocation that the
+broker decides like any other; each served channel has a connection of its own to its provider.
+"""
+
+from __future__ import annotations
+
+import secrets
+import select
+import socket
+from collections import deque
+from itertools import count
+from typing import NamedTuple
+
+from linnetshift import interface as api
+from linnetshift.core.broker import Broker
+from linnetshift.core.invocation import Invocation, Link
+from linnetshift.interface import Outcome
+from linnetshift.net import log, ssh
+from linnetshift.net.log import Reason
+from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
+from linnetshift.net.platform import ANSWER_NS, OPENER_NS, STALL_NS, Acceptor, Names
+from linnetshift.net.provider import Endpoint, Steps, linger
+from linnetshift.net.ssh import Disconnect, Fields, Malformed, Message, OpenFailure, message, string
+from linnetshift.net.stream import End, LineTooLong, Stream
+
+CHANNEL_TYPE = "invocation@linnetshift"
+MOVE_REQUEST, RESET_REQUEST = b"move@linnetshift", b"reset@linnetshift"
+KEEPALIVE_REQUEST = b"keepalive@linnetshift"
+WINDOW = 32_768  # what a consumer may have under way on a channel, and so what is kept for a slow provider
+PACKET_DATA = 16_384
+MOST_CHANNELS = 256
+MOST_UNSENT = 65_536  # with more than this unread by the consumer, nothing more is read from it
+HELD_NS = S  # what a consumer grants no window for is given up after this when the channel must end
+KEEPALIVE_NS, SILENT_BEATS = 15 * S, 3
+RETRY_FLAG, RETURNED_FLAG = 1, 2
+
+
+class Overdue(NamedTuple):
+    """An ending channel's last lines have found no window."""
+
+    channel: Channel
+
+
+class Channel:
+    """One invocation inside a session; a consumer to the broker."""
+
+    def __init__(self, session: Session, number: int, remote: int, window: int, most: int) -> None:
+        self.session, self.number, self.remote = session, number, remote
+        self.window, self.most = window, max(1, min(most, PACKET_DATA))
+        self.granted = WINDOW  # what the consumer may still send
+        self.owed = 0  # what it sent and has not been granted again
+        self.pending = bytearray()  # whole lines that wait for window or for their turn
+        self.queued = False
+        self.held = False  # the provider waits until nothing is pending
+        self.open = False  # confirmed
+        self.closing: bytes | None = None  # the request that goes before CLOSE; b"" for none
+        self.close_sent = False
+        self.reason = Reason.CHANNEL_CLOSED
+        self.began = session.loop.now()
+        self.provider = b""
+        self.invocation: Invocation
+
+    # ---- the broker's and the provider's side -----------------------------------------------
+
+    @property
+    def congested(self) -> bool:
+        return bool(self.pending)
+
+    def up(self, receipt: memoryview) -> None:
+        self.open = True
+        if self.invocation.out is not None:
+            self.provider = self.invocation.out.provider
+        opened = message(
+            Message.CHANNEL_OPEN_CONFIRMATION, "IIII", self.remote, self.number, WINDOW, PACKET_DATA
+        )
+        self.session.write(opened + string(bytes(receipt).rstrip(b"\r\n")))
+
+    def deliver(self, message: memoryview) -> None:
+        self.pending += message
+        self.session.take_turn(self)
+        self.held = bool(self.pending)
+
+    def resume(self) -> None:
+        """The provider takes messages again: the consumer may send as much as has gone."""
+        if self.owed and self.open and not self.close_sent:
+            self.granted += self.owed
+            self.session.write(message(Message.CHANNEL_WINDOW_ADJUST, "II", self.remote, self.owed))
+            self.owed = 0
+
+    def reject(self, retry_after_ns: int, breach: str) -> None:
+        ms = -(-retry_after_ns // MS)
+        text = f"come again after {ms} ms"
+        if breach:
+            self.refuse(OpenFailure.ADMINISTRATIVELY_PROHIBITED, f"{breach}: {text}", Reason.REJECTED)
+        else:
+            self.refuse(OpenFailure.RESOURCE_SHORTAGE, text, Reason.REJECTED)
+
+    def fail(self) -> None:
+        self.refuse(OpenFailure.CONNECT_FAILED, "the invocation failed", Reason.FAILED)
+
+    def refuse(self, code: OpenFailure, text: str, reason: Reason) -> None:
+        self.session.refuse(self.remote, code, text)
+        self.reason = reason
+        self.session.drop(self)
+
+    def move(self, reason: str) -> None:
+        self.session.broker.consumer_ended(self.invocation, False)
+        self.end(Reason(reason), MOVE_REQUEST)
+
+    def provider_ended(self, outcome: int, reset: bool) -> None:
+        if reset:
+            self.end(Reason.PROVIDER_RESET, RESET_REQUEST)
+        elif outcome == Outcome.OK:
+            self.end(Reason.SERVED, b"")
+        else:
+            self.end(Reason.SENT_AWAY if outcome == Outcome.CANCELLED else Reason.PROVIDER_LEFT, b"")
+
+    # ---- the consumer's side ----------------------------------------------------------------
+
+    @property
+    def link(self) -> Link | None:
+        return self.invocation.out.link if self.invocation.out is not None else None
+
+    def received(self, data: memoryview) -> None:
+        if len(data) > self.granted:
+            raise Malformed("data beyond the channel's window")
+        self.granted -= len(data)
+        self.owed += len(data)
+        link = self.link
+        if link is None:
+            return
+        link.deliver(data)
+        if not link.congested and self.owed >= WINDOW // 2:
+            self.resume()
+
+    def write_some(self) -> None:
+        """One packet's worth, so that every channel with something to say gets its turn."""
+        size = min(len(self.pending), self.window, self.most)
+        if size:
+            with memoryview(self.pending) as view:
+                head = message(Message.CHANNEL_DATA, "I", self.remote)
+                self.session.write(head + string(view[:size]))
+            del self.pending[:size]
+            self.window -= size
+        if self.pending:
+            return
+        if self.closing is not None:
+            self.finish()
+        elif self.held and self.link is not None:
+            self.held = False
+            self.link.resume()
+
+    def end(self, reason: Reason, request: bytes) -> None:
+        """Close between two lines: what is pending goes first, if the consumer takes it in time."""
+        if self.closing is not None or self.close_sent:
+            return
+        self.reason, self.closing = reason, request
+        if self.pending:
+            self.session.loop.call_later(HELD_NS, lambda: self.session.post(Overdue(self)))
+        else:
+            self.finish()
+
+    def finish(self) -> None:
+        if self.close_sent:
+            return
+        if self.closing:
+            request = message(Message.CHANNEL_REQUEST, "I", self.remote) + string(self.closing) + b"\0"
+            self.session.write(request)
+        elif self.closing is not None:
+            self.session.write(message(Message.CHANNEL_EOF, "I", self.remote))
+        self.close_sent = True
+        self.pending.clear()
+        self.session.write(message(Message.CHANNEL_CLOSE, "I", self.remote))
+
+
+class Session(Actor):
+    """One terminal's connection and its channels."""
+
+    def __init__(self, front: ChannelsFront, sock: socket.socket, peer: Endpoint) -> None:
+        super().__init__(front.loop)
+        self.front, self.broker, self.peer = front, front.broker, peer
+        self.stream = Stream(self.loop, sock, self.ready, size=ssh.MOST_PACKET + ssh.BLOCK)
+        self.channels: dict[int, Channel] = {}
+        self.numbers = count()
+        self.turns: deque[Channel] = deque()
+        self.opened = 0
+        self.received = 0  # packets, the last one's sequence number being one less
+        self.beats = 0  # keepalives since anything was heard
+        self.congested_at = 0
+        self.reason: Reason | None = None
+
+    def ready(self, mask: int) -> None:
+        self.post(Io(mask))
+
+    # ---- the script -------------------------------------------------------------------------
+
+    def live(self) -> Script:
+        self.front.sessions.add(self)
+        self.stream.arm()
+        try:
+            yield from self.identify()
+            yield from self.serve()
+        except Malformed as error:
+            self.reason = Reason.PROTOCOL_ERROR
+            log.note("malformed", peer=self.peer[0], error=str(error))
+            self.disconnect(error.code, str(error))
+        reset = self.reason is Reason.CONSUMER_RESET
+        for channel in list(self.channels.values()):
+            if channel.closing is None and not channel.close_sent:
+                channel.reason = self.reason or Reason.CONSUMER_LEFT
+            self.broker.consumer_ended(channel.invocation, reset)
+            self.drop(channel)
+        if not self.stream.broken and self.reason is not Reason.STALLED:
+            self.stream.finish()
+            yield from linger(self, self.stream)
+        self.stream.close()
+        self.front.sessions.discard(self)
+        log.ended(
+            "session",
+            self.reason or Reason.CONSUMER_LEFT,
+            peer=f"{self.peer[0]}:{self.peer[1]}",
+            channels=self.opened,
+        )
+
+    def identify(self) -> Steps:
+        """Each side opens with its identification; lines before the other's are passed over."""
+        self.stream.send(ssh.IDENTIFICATION)
+        timer = self.alarm(OPENER_NS, "opener")
+        while self.reason is None:
+            match (yield):
+                case Io(mask):
+                    self.turn(mask)
+                    if self.identified():
+                        timer.cancel()
+                        return
+                case Timeout(tag="opener"):
+                    self.reason = Reason.SLOW_OPENER
+
+    def identified(self) -> bool:
+        try:
+            for line in self.stream.lines():
+                if bytes(line[:4]) != b"SSH-":
+                    continue
+                if len(line) > ssh.MOST_IDENTIFICATION or bytes(line[:8]) not in (b"SSH-2.0-", b"SSH-1.99"):
+                    raise Malformed("not SSH 2.0", Disconnect.PROTOCOL_VERSION_NOT_SUPPORTED)
+                return True
+        except LineTooLong:
+            raise Malformed("no identification") from None
+        return False
+
+    def serve(self) -> Steps:
+        self.alarm(KEEPALIVE_NS, "keepalive")
+        self.read_packets()
+        while self.reason is None:
+            match (yield):
+                case Io(mask):
+                    self.turn(mask)
+                    self.read_packets()
+                case Overdue(channel):
+                    channel.finish()
+                case Timeout(tag="keepalive"):
+                    self.keep_alive()
+                case Timeout(tag="stalled") if self.congested_at:
+                    if self.loop.now() - self.congested_at >= STALL_NS:
+                        self.reason = Reason.STALLED
+            if self.front.leaving and not self.channels and self.reason is None:
+                self.leave()
+
+    def turn(self, mask: int) -> None:
+        """Write what the socket takes, channel by channel; then read once."""
+        if mask & select.EPOLLOUT:
+            self.stream.flush()
+            self.give_turns()
+        if mask & ~select.EPOLLOUT:
+            end = self.stream.fill()
+            self.beats = 0
+            if end is not None:
+                self.reason = Reason.CONSUMER_RESET if end is End.RESET else Reason.CONSUMER_LEFT
+        if self.stream.broken:
+            self.reason = Reason.CONSUMER_RESET
+        self.stream.want(len(self.stream.out) < MOST_UNSENT)
+
+    def keep_alive(self) -> None:
+        """A half-open peer is quiet for ever; one that lives answers, if only that it will not."""
+        self.beats += 1
+        if self.beats > SILENT_BEATS:
+            self.reason = Reason.SILENT
+            return
+        self.write(message(Message.GLOBAL_REQUEST) + string(KEEPALIVE_REQUEST) + b"\1")
+        self.alarm(KEEPALIVE_NS, "keepalive")
+
+    # ---- writing ----------------------------------------------------------------------------
+
+    def write(self, payload: bytes) -> None:
+        self.stream.send(ssh.packet(payload))
+        if self.stream.congested and not self.congested_at:
+            self.congested_at = self.loop.now()
+            self.alarm(STALL_NS, "stalled")
+
+    def refuse(self, remote: int, code: OpenFailure, text: str) -> None:
+        head = message(Message.CHANNEL_OPEN_FAILURE, "II", remote, code)
+        self.write(head + string(text.encode()) + string(b"en"))
+
+    def disconnect(self, code: Disconnect, text: str) -> None:
+        self.write(message(Message.DISCONNECT, "I", code) + string(text.encode()) + string(b"en"))
+
+    def take_turn(self, channel: Channel) -> None:
+        if not channel.queued:
+            channel.queued = True
+            self.turns.append(channel)
+        self.give_turns()
+
+    def give_turns(self) -> None:
+        """Round and round, a packet each; a channel without window leaves the round until it has some."""
+        if not self.stream.congested:
+            self.congested_at = 0
+        while self.turns and not self.stream.congested:
+            channel = self.turns.popleft()
+            channel.queued = False
+            channel.write_some()
+            if channel.pending and channel.window and not channel.queued:
+                channel.queued = True
+                self.turns.append(channel)
+
+    # ---- reading ----------------------------------------------------------------------------
+
+    def read_packets(self) -> None:
+        while self.reason is None and (payload := ssh.next_packet(self.stream)) is not None:
+            self.received += 1
+            self.heed(Fields(payload))
+
+    def heed(self, fields: Fields) -> None:
+        kind = fields.byte()
+        match kind:
+            case Message.CHANNEL_DATA:
+                self.channel(fields).received(fields.string())
+            case Message.CHANNEL_WINDOW_ADJUST:
+                self.adjust(self.channel(fields), fields.uint32())
+            case Message.CHANNEL_OPEN:
+                self.open(fields)
+            case Message.CHANNEL_CLOSE:
+                self.closed(self.channel(fields))
+            case Message.CHANNEL_EOF:
+                # Not passed on: to a provider the end of our sending abandons the connection.
+                self.channel(fields)
+            case Message.CHANNEL_EXTENDED_DATA:
+                self.extended(fields)
+            case Message.CHANNEL_REQUEST:
+                channel = self.channel(fields)
+                fields.string()
+                if fields.boolean() and not channel.close_sent:
+                    self.write(message(Message.CHANNEL_FAILURE, "I", channel.remote))
+            case Message.GLOBAL_REQUEST:
+                fields.string()
+                if fields.boolean():
+                    self.write(message(Message.REQUEST_FAILURE))
+            case Message.DISCONNECT:
+                self.reason = Reason.CONSUMER_LEFT
+            case (
+                Message.IGNORE
+                | Message.DEBUG
+                | Message.UNIMPLEMENTED
+                | Message.REQUEST_SUCCESS
+                | Message.REQUEST_FAILURE
+                | Message.CHANNEL_SUCCESS
+                | Message.CHANNEL_FAILURE
+            ):
+                pass
+            case Message.CHANNEL_OPEN_CONFIRMATION | Message.CHANNEL_OPEN_FAILURE:
+                raise Malformed("an answer to a channel that was never asked for")
+            case _:
+                self.write(message(Message.UNIMPLEMENTED, "I", (self.received - 1) & 0xFFFFFFFF))
+
+    def channel(self, fields: Fields) -> Channel:
+        channel = self.channels.get(fields.uint32())
+        if channel is None or not (channel.open or channel.close_sent):
+            raise Malformed("no such channel")
+        return channel
+
+    def extended(self, fields: Fields) -> None:
+        """There is no second stream to a provider: the data is counted and let go."""
+        channel = self.channel(fields)
+        fields.uint32()
+        size = len(fields.string())
+        if size > channel.granted:
+            raise Malformed("data beyond the channel's window")
+        channel.granted -= size
+        channel.owed += size
+        channel.resume()
+
+    def adjust(self, channel: Channel, more: int) -> None:
+        channel.window += more
+        if channel.window > 0xFFFFFFFF:
+            raise Malformed("a window beyond 2^32 - 1")
+        if channel.pending:
+            self.take_turn(channel)
+
+    def open(self, fields: Fields) -> None:
+        kind, remote, window, most = fields.text(), fields.uint32(), fields.uint32(), fields.uint32()
+        if kind != CHANNEL_TYPE:
+            self.refuse(remote, OpenFailure.UNKNOWN_CHANNEL_TYPE, f"only {CHANNEL_TYPE} is known")
+            return
+        klass, tenant = fields.text(), fields.text()
+        key, group, wait_ms = fields.uint64(), fields.uint64(), fields.uint32()
+        flags = fields.uint32() if fields.rest else 0
+        place = self.front.names.classes.get(klass)
+        if place is None or any(c in tenant for c in ", =\r\n"):
+            self.refuse(remote, OpenFailure.CONNECT_FAILED, "unknown class or impossible tenant")
+            return
+        if self.front.leaving or len(self.channels) >= MOST_CHANNELS:
+            self.refuse(remote, OpenFailure.RESOURCE_SHORTAGE, "come again after 0 ms")
+            return
+        channel = Channel(self, next(self.numbers), remote, window, most)
+        wait = wait_ms * MS or self.broker.settings.classes[place].deadline_ns
+        head = f"OPEN {secrets.randbits(64):016x} {key:016x} c={klass},t={tenant},d="
+        marks = f",g={group:016x}" if group else ""
+        marks += ",r=1" if flags & RETRY_FLAG else ""
+        marks += ",again=1" if flags & RETURNED_FLAG else ""
+        names = self.front.names.tenants
+        channel.invocation = Invocation(
+            channel,
+            place,
+            names.get(tenant, len(names)),
+            key,
+            group,
+            (api.RETRY if flags & RETRY_FLAG else 0) | (api.RETURNED if flags & RETURNED_FLAG else 0),
+            0,
+            self.loop.since + wait - ANSWER_NS,
+            lambda left_ms: f"{head}{left_ms}{marks}\r\n".encode(),
+        )
+        self.channels[channel.number] = channel
+        self.opened += 1
+        self.broker.invoke(channel.invocation)
+
+    def closed(self, channel: Channel) -> None:
+        """The consumer closes, or confirms our own close."""
+        if not channel.close_sent:
+            channel.close_sent = True
+            self.write(message(Message.CHANNEL_CLOSE, "I", channel.remote))
+            self.broker.consumer_ended(channel.invocation, False)
+        self.drop(channel)
+
+    def drop(self, channel: Channel) -> None:
+        if self.channels.pop(channel.number, None) is None:
+            return
+        channel.pending.clear()
+        log.ended(
+            "channel",
+            channel.reason,
+            id=channel.invocation.id,
+            channel=channel.number,
+            provider=channel.provider.decode("utf-8", "replace"),
+            attempts=channel.invocation.attempts,
+            ms=(self.loop.now() - channel.began) // MS,
+        )
+
+    def leave(self) -> None:
+        self.reason = Reason.SHUT_DOWN
+        self.disconnect(Disconnect.BY_APPLICATION, "this proxy is leaving")
+
+
+class ChannelsFront:
+    """Accepts sessions where the broker's own file says, while it is told to."""
+
+    def __init__(self, loop: Loop, broker: Broker, names: Names, address: Endpoint) -> None:
+        self.loop, self.broker, self.names, self.address = loop, broker, names, address
+        self.sessions: set[Session] = set()
+        self.leaving = False
+        self.acceptor: Acceptor | None = None
+
+    def open(self) -> None:
+        self.leaving = False
+        if self.acceptor is None:
+            self.acceptor = Acceptor(self.loop, self.address, self.take)
+
+    def take(self, sock: socket.socket, peer: Endpoint) -> None:
+        session = Session(self, sock, peer)
+        session.start(session.live())
+
+    def leave(self) -> None:
+        """Take no new session; those there are end once their channels have."""
+        self.leaving = True
+        self.close()
+        for session in self.sessions:
+            session.post(Timeout("leave"))
+
+    def close(self) -> None:
+        if self.acceptor is not None:
+            self.acceptor.close()
+            self.acceptor = None
+
+    def channels(self) -> list[Channel]:
+        return [channel for session in self.sessions for channel in session.channels.values()]
--- /dev/null
+++ b/linnetshift/net/config.py
@@ -0,0 +1,138 @@
+"""What a proxy is told: the platform's JSON, and the broker's own file for all that the platform has not."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import tomllib
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from linnetshift import interface as api
+from linnetshift.contracts import Budget, Contract, Contracts
+from linnetshift.net.directory import Roster, read_list
+from linnetshift.net.platform import Names
+from linnetshift.net.provider import Endpoint, parse_endpoint
+from linnetshift.net.vrrp import VrrpConfig
+
+OWN_FILE = Path(__file__).parent.parent.parent / "deploy" / "broker.toml"
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why in one line."""
+
+
+class Config(NamedTuple):
+    name: str
+    listen: Endpoint
+    directory: Endpoint
+    seed: int
+    known: Roster
+    settings: api.Settings
+    names: Names
+
+
+def read_config(path: str | None) -> Config:
+    if not path:
+        raise ConfigError("GW_CONFIG does not name a configuration file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw: Any = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"cannot read {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path} is not JSON: {error}") from None
+    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+        raise ConfigError(f"{path} holds no settings")
+    try:
+        names = Names(raw["settings"])
+        return Config(
+            name=str(raw.get("name", "")),
+            listen=parse_endpoint(str(raw["listen"])),
+            directory=parse_endpoint(str(raw["discovery"])),
+            seed=int(str(raw.get("seed", "0")), 16),
+            known=read_list(raw.get("known", {"targets": []}), names, cached=True),
+            settings=api.Settings.parse(raw["settings"]),
+            names=names,
+        )
+    except KeyError as error:
+        raise ConfigError(f"{path}: key {error} is missing") from None
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+class BrokerFile(NamedTuple):
+    """The parts that are off unless the broker's own file turns them on."""
+
+    channels: Endpoint | None = None
+    vrrp: VrrpConfig | None = None
+    contracts: Contracts = Contracts()
+
+
+def read_broker_file(path: str | None, names: Names) -> BrokerFile:
+    """`deploy/broker.toml`, or the file that the environment names instead."""
+    place = Path(path) if path else OWN_FILE
+    if not path and not place.exists():
+        return BrokerFile()
+    try:
+        raw = tomllib.loads(place.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"cannot read {place}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{place} is not TOML: {error}") from None
+    try:
+        channels, vrrp = raw.get("channels", {}), raw.get("vrrp", {})
+        return BrokerFile(
+            channels=parse_endpoint(str(channels["listen"])) if channels.get("enabled") else None,
+            vrrp=read_vrrp(vrrp) if vrrp.get("enabled") else None,
+            contracts=read_contracts(raw.get("contract", []), names),
+        )
+    except KeyError as error:
+        raise ConfigError(f"{place}: key {error} is missing") from None
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{place}: {error}") from None
+
+
+def read_vrrp(raw: dict[str, Any]) -> VrrpConfig:
+    config = VrrpConfig(
+        vrid=int(raw["vrid"]),
+        priority=int(raw.get("priority", 100)),
+        interval=int(raw.get("interval_cs", 100)),
+        preempt=bool(raw.get("preempt", True)),
+        listen=parse_endpoint(str(raw["listen"])),
+        peers=tuple(parse_endpoint(str(peer)) for peer in raw["peers"]),
+        addresses=tuple(str(ipaddress.IPv4Address(address)) for address in raw.get("addresses", [])),
+    )
+    if not 1 <= config.vrid <= 255 or not 1 <= config.priority <= 255:
+        raise ValueError("vrrp's vrid and priority lie between 1 and 255")
+    if not 1 <= config.interval <= 4095 or len(config.addresses) > 255:
+        raise ValueError("vrrp's interval_cs lies between 1 and 4095, with at most 255 addresses")
+    return config
+
+
+def read_contracts(raw: list[dict[str, Any]], names: Names) -> Contracts:
+    teams: dict[int, Contract] = {}
+    for item in raw:
+        team, services = str(item["team"]), item.get("services")
+        for kind, name, known in [("team", team, names.tenants)] + [
+            ("service", str(service), names.classes) for service in services or []
+        ]:
+            if name not in known:
+                raise ValueError(f"a contract names the unknown {kind} {name!r}")
+        teams[names.tenants[team]] = Contract(
+            services=None if services is None else frozenset(names.classes[str(s)] for s in services),
+            rate=read_budget(item, "rate_per_s", "rate_burst"),
+            retries=read_budget(item, "retries_per_s", "retries_burst"),
+            concurrency=int(item["concurrency"]) if "concurrency" in item else None,
+        )
+    return Contracts(teams)
+
+
+def read_budget(item: dict[str, Any], rate_key: str, burst_key: str) -> Budget | None:
+    if rate_key not in item:
+        return None
+    rate = float(item[rate_key])
+    burst = float(item.get(burst_key, max(1.0, rate)))
+    if not 0.0 < rate < float("inf") or not 1.0 <= burst < float("inf"):
+        raise ValueError(f"{rate_key} must be above 0 and {burst_key} 1 or more")
+    return Budget(rate, burst)
--- a/linnetshift/net/loop.py
+++ b/linnetshift/net/loop.py
@@ -102,9 +102,12 @@
 
     def call_later(self, delay_ns: int, fire: Callable[[], None]) -> Timer:
         timer = Timer(fire)
-        heapq.heappush(self.timers, (self.now() + max(0, delay_ns), next(self.sequence), timer))
+        self.schedule(delay_ns, timer)
         return timer
 
+    def schedule(self, delay_ns: int, timer: Timer) -> None:
+        heapq.heappush(self.timers, (self.now() + max(0, delay_ns), next(self.sequence), timer))
+
     def watch(self, fd: int, mask: int, handler: Handler) -> None:
         if fd in self.handlers:
             self.epoll.modify(fd, mask)
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -6,6 +6,7 @@
 
 from linnetshift.core.broker import Broker
 from linnetshift.net import log
+from linnetshift.net.channels import ChannelsFront
 from linnetshift.net.loop import MS, Actor, Loop, S, Script, Timeout
 
 REVIEW_NS = S  # how often message times are looked at
@@ -38,6 +39,24 @@
 LEAST_DEADLINE_NS, KILL_NS = 3 * S, 700 * MS
 SPARE_NS = 350 * MS  # kept free before the kill, for the last answers and moves to be written
 STEP_NS = 50 * MS
+LOST_PART_NS = 2 * S  # over how long channels move once another proxy is the active one
+
+
+class Mover(Actor):
+    """Moves a front's channels at an even pace once it no longer listens."""
+
+    def __init__(self, loop: Loop, broker: Broker, front: ChannelsFront) -> None:
+        super().__init__(loop)
+        self.broker, self.front = broker, front
+
+    def live(self) -> Script:
+        steps = LOST_PART_NS // STEP_NS
+        while self.front.leaving and (channels := self.front.channels()):
+            for channel in channels[: -(-len(channels) // max(1, steps))]:
+                self.broker.move(channel.invocation.id, "moved")
+            steps -= 1
+            self.alarm(STEP_NS, "step")
+            yield
 
 
 class Departure(Actor):
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -21,6 +21,7 @@
 OPENER_NS = 5 * S  # how long a consumer may take over its first line
 STALL_NS = 7 * S  # how long a consumer may leave everything unread
 ANSWER_NS = 4 * MS  # answers leave this much before the consumer gives up
+BACKLOG = 1024
 ACCEPTS = 64  # at one turn of the loop
 PAUSE_NS = 50 * MS  # without descriptors, how long nothing is accepted
 
@@ -210,13 +211,14 @@
     def open(self) -> Steps:
         """Read the first line and hand it in; the reason if nothing comes of it."""
         timer = self.alarm(OPENER_NS, "opener")
-        arrived = self.loop.since
+        arrived, asked = self.loop.since, False
         end = self.stream.fill()  # the line mostly comes with the connection
         while True:
             try:
                 line = self.stream.line()
                 if line is not None and bytes(line[:6]).rstrip() in (b"PING", b"STATS"):
                     self.stream.send(self.front.readiness(bytes(line[:6])))
+                    asked = True
                     continue
                 if line is not None:
                     self.hand_in(parse_opening(bytes(line), self.front.names), arrived)
@@ -227,7 +229,6 @@
                 self.stream.send(FAILED)
                 return Reason.BAD_LINE
             if end is not None:
-                asked = self.stream.start > 0
                 return Reason.PROBED if asked else Reason.EMPTY
             match (yield):
                 case Io(mask):
@@ -335,14 +336,18 @@
 FAILED = b"FAIL\r\n"
 
 
-class PlatformFront:
-    """Accepts consumers on the address that the platform gave."""
+class Acceptor:
+    """A listening socket that hands each connection on and outlives a want of descriptors."""
 
-    def __init__(self, loop: Loop, broker: Broker, names: Names, address: Endpoint) -> None:
-        self.loop, self.broker, self.names = loop, broker, names
-        self.consumers: set[PlatformConsumer] = set()
-        self.leaving = False
-        self.listener = listen(address)
+    def __init__(
+        self, loop: Loop, address: Endpoint, take: Callable[[socket.socket, Endpoint], None]
+    ) -> None:
+        self.loop, self.take = loop, take
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(BACKLOG)
+        self.listener.setblocking(False)
         self.accept_again()
 
     def accept_again(self) -> None:
@@ -363,13 +368,7 @@
                     log.note("accept-paused", error=error.strerror)
                     return
                 continue  # the peer was gone before it was accepted
-            consumer = PlatformConsumer(self, sock, peer)
-            consumer.start(consumer.live())
-
-    def readiness(self, asked: bytes) -> bytes:
-        if not asked.startswith(b"PING"):
-            return b"NO\r\n"
-        return b"ERR\r\n" if self.leaving else b"PONG\r\n"
+            self.take(sock, peer)
 
     def close(self) -> None:
         if self.listener.fileno() >= 0:
@@ -377,10 +376,23 @@
             self.listener.close()
 
 
-def listen(address: Endpoint) -> socket.socket:
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(address)
-    listener.listen(1024)
-    listener.setblocking(False)
-    return listener
+class PlatformFront:
+    """Accepts consumers on the address that the platform gave."""
+
+    def __init__(self, loop: Loop, broker: Broker, names: Names, address: Endpoint) -> None:
+        self.loop, self.broker, self.names = loop, broker, names
+        self.consumers: set[PlatformConsumer] = set()
+        self.leaving = False
+        self.acceptor = Acceptor(loop, address, self.take)
+
+    def take(self, sock: socket.socket, peer: Endpoint) -> None:
+        consumer = PlatformConsumer(self, sock, peer)
+        consumer.start(consumer.live())
+
+    def readiness(self, asked: bytes) -> bytes:
+        if not asked.startswith(b"PING"):
+            return b"NO\r\n"
+        return b"ERR\r\n" if self.leaving else b"PONG\r\n"
+
+    def close(self) -> None:
+        self.acceptor.close()
--- /dev/null
+++ b/linnetshift/net/vrrp.py
@@ -0,0 +1,213 @@
+"""VRRP version 3 (RFC 9568): its state machine and advertisements, carried over UDP.
+
+Which of several proxies listens for channels is settled here. There is no virtual MAC to answer for and
+no TTL to check: the datagrams go to named peers only, and what comes from anyone else is dropped.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+import struct
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+from linnetshift.net import log
+from linnetshift.net.loop import MS, Actor, Io, Loop, Script, Timeout, Timer
+from linnetshift.net.provider import Endpoint
+
+VERSION, ADVERTISEMENT = 3, 1
+HEADER = struct.Struct(">BBBBHH")
+OWNER, RELEASED = 255, 0  # priorities with a meaning of their own
+CENTISECOND = 10 * MS
+MOST_DATAGRAM = 2048
+
+
+class State(Enum):
+    INITIALIZE = "initialize"
+    BACKUP = "backup"
+    ACTIVE = "active"
+
+
+class BadAdvertisement(ValueError):
+    """A datagram that is no advertisement of this version."""
+
+
+class Advertisement(NamedTuple):
+    vrid: int
+    priority: int
+    interval: int  # in centiseconds, as on the wire
+    addresses: tuple[str, ...]
+
+    def encode(self) -> bytes:
+        count, interval = len(self.addresses), self.interval & 0x0FFF
+        kind = VERSION << 4 | ADVERTISEMENT
+        body = b"".join(socket.inet_aton(address) for address in self.addresses)
+        blank = HEADER.pack(kind, self.vrid, self.priority, count, interval, 0) + body
+        return HEADER.pack(kind, self.vrid, self.priority, count, interval, checksum(blank)) + body
+
+
+def checksum(data: bytes) -> int:
+    """The Internet's checksum; over IPv4 it covers the message alone (section 5.2.8)."""
+    total: int = sum(struct.unpack(f">{len(data) // 2}H", data))
+    while total >> 16:
+        total = (total & 0xFFFF) + (total >> 16)
+    return ~total & 0xFFFF
+
+
+def decode(data: bytes) -> Advertisement:
+    if len(data) < HEADER.size:
+        raise BadAdvertisement("too short")
+    kind, vrid, priority, count, interval, _ = HEADER.unpack_from(data)
+    if kind != VERSION << 4 | ADVERTISEMENT:
+        raise BadAdvertisement("not an advertisement of version 3")
+    if len(data) != HEADER.size + 4 * count:
+        raise BadAdvertisement("its length does not fit its addresses")
+    if checksum(data):
+        raise BadAdvertisement("wrong checksum")
+    places = range(HEADER.size, len(data), 4)
+    return Advertisement(
+        vrid, priority, interval & 0x0FFF, tuple(socket.inet_ntoa(data[at : at + 4]) for at in places)
+    )
+
+
+class VrrpConfig(NamedTuple):
+    vrid: int
+    priority: int
+    interval: int  # centiseconds
+    preempt: bool
+    listen: Endpoint
+    peers: tuple[Endpoint, ...]
+    addresses: tuple[str, ...]
+
+
+class Router:
+    """Section 6.4, without sockets: told of timers and advertisements, it says what to do through two calls.
+
+    `send` takes the priority to advertise; `arm` the centiseconds until `timer_fired`, for the one timer
+    that each state has.
+    """
+
+    def __init__(self, config: VrrpConfig, send: Callable[[int], None], arm: Callable[[float], None]) -> None:
+        self.config, self.send, self.arm = config, send, arm
+        self.state = State.INITIALIZE
+        self.active_interval = config.interval
+
+    @property
+    def skew(self) -> float:
+        return (256 - self.config.priority) * self.active_interval / 256
+
+    @property
+    def down_interval(self) -> float:
+        return 3 * self.active_interval + self.skew
+
+    def start(self) -> None:
+        if self.config.priority == OWNER:
+            self.become_active()
+        else:
+            self.become_backup(self.config.interval)
+
+    def stop(self) -> None:
+        if self.state is State.ACTIVE:
+            self.send(RELEASED)
+        self.state = State.INITIALIZE
+
+    def timer_fired(self) -> None:
+        if self.state is State.BACKUP:
+            self.become_active()
+        elif self.state is State.ACTIVE:
+            self.advertise()
+
+    def heard(self, advertisement: Advertisement, sender: str) -> None:
+        mine, theirs = self.config.priority, advertisement.priority
+        if self.state is State.BACKUP:
+            if theirs == RELEASED:
+                self.arm(self.skew)
+            elif not self.config.preempt or theirs >= mine:
+                self.become_backup(advertisement.interval)
+        elif self.state is State.ACTIVE:
+            higher = socket.inet_aton(sender) > socket.inet_aton(self.config.listen[0])
+            if theirs != RELEASED and (theirs > mine or (theirs == mine and higher)):
+                self.become_backup(advertisement.interval)
+            else:
+                self.advertise()  # asserts that this one is active
+
+    def become_backup(self, interval: int) -> None:
+        self.state, self.active_interval = State.BACKUP, interval
+        self.arm(self.down_interval)
+
+    def become_active(self) -> None:
+        self.state = State.ACTIVE
+        self.advertise()
+
+    def advertise(self) -> None:
+        self.send(self.config.priority)
+        self.arm(self.config.interval)
+
+
+class Vrrp(Actor):
+    """The router on its socket; `changed` hears whether this proxy is the active one."""
+
+    def __init__(self, loop: Loop, config: VrrpConfig, changed: Callable[[bool], None]) -> None:
+        super().__init__(loop)
+        self.config, self.changed = config, changed
+        self.router = Router(config, self.send, self.arm)
+        self.timer: Timer | None = None
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(config.listen)
+        loop.watch(self.sock.fileno(), select.EPOLLIN, lambda mask: self.post(Io(mask)))
+
+    def live(self) -> Script:
+        before = self.router.state
+        self.router.start()
+        while True:
+            if self.router.state is not before:
+                log.note("vrrp", state=self.router.state, vrid=self.config.vrid)
+                if State.ACTIVE in (before, self.router.state):
+                    self.changed(self.router.state is State.ACTIVE)
+                before = self.router.state
+            match (yield):
+                case Io():
+                    self.receive()
+                case Timeout(tag=tag) if tag is self.timer:
+                    self.router.timer_fired()
+
+    def stop(self) -> None:
+        """Shut down: an active router releases its part before it goes."""
+        self.router.stop()
+        self.loop.unwatch(self.sock.fileno())
+        self.sock.close()
+        self.script = None
+
+    def send(self, priority: int) -> None:
+        config = self.config
+        datagram = Advertisement(config.vrid, priority, config.interval, config.addresses).encode()
+        for peer in config.peers:
+            try:
+                self.sock.sendto(datagram, peer)
+            except OSError as error:  # a peer that is down must not stop the others' word
+                log.note("vrrp-unsent", peer=f"{peer[0]}:{peer[1]}", error=error.strerror)
+
+    def arm(self, centiseconds: float) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        timer = self.timer = Timer(lambda: self.post(Timeout(timer)))
+        self.loop.schedule(int(centiseconds * CENTISECOND), timer)
+
+    def receive(self) -> None:
+        while True:
+            try:
+                data, sender = self.sock.recvfrom(MOST_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:  # an earlier datagram's peer was not there
+                continue
+            try:
+                advertisement = decode(data)
+            except BadAdvertisement as error:
+                log.note("vrrp-dropped", peer=sender[0], error=str(error))
+                continue
+            if advertisement.vrid == self.config.vrid and sender in self.config.peers:
+                self.router.heard(advertisement, sender[0])
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -240,6 +240,13 @@
         if host.state == HostState.READY:
             host.told = self.now
         host.state = state
+        self.empty_out(host)
+
+    def empty_out(self, host: Host) -> None:
+        """What stands on a host that drains or is gone is told to move before the host stops."""
+        if host.state != HostState.READY and host.standing:
+            self.hung[host.id] = host
+            self.start_tick()
 
     def on_list_failed(self) -> None:
         """Ask again after a back-off, jittered so that nodes refused together do not return together."""
@@ -423,10 +430,14 @@
     def leave_hung(self) -> None:
         for host in list(self.hung.values()):
             count = int(len(host.standing) * HUNG_SHARE + self.random.random())
+            ready = host.state == HostState.READY
             for item in list(host.standing.values())[:count]:
-                if self.better_host(item, host):
+                other = self.better_host(item, host, leaving=not ready)
+                if other is not None:
+                    if self.warmth(other) < 1.0:
+                        other.tokens -= 1.0  # the client is back only later: more must not be sent meanwhile
                     self.move(item, host)
-            if not host.standing or self.now >= host.avoid_until:
+            if not host.standing or (ready and self.now >= host.avoid_until):
                 del self.hung[host.id]
         if self.hung:
             self.start_tick()
@@ -504,12 +515,13 @@
     def admitted(self, item: Pending) -> bool:
         return self.admit >= 1.0 or mix64(self.key_hash(item.request) ^ SHED_SALT) < self.admit * MASK
 
-    def better_host(self, item: Pending, host: Host) -> bool:
-        """Never from one bad host to another, nor to one that may not take it yet."""
+    def better_host(self, item: Pending, host: Host, leaving: bool = False) -> Host | None:
+        """Never from one bad host to another, unless it is leaving; nor to one that may not take it yet."""
         for other in self.ranking(self.key_hash(item.request)):
-            if other is not host and not self.passed_over(other) and self.may_send(other, False):
-                return True
-        return False
+            fine = leaving or not self.passed_over(other)
+            if other is not host and fine and self.may_send(other, False):
+                return other
+        return None
 
     # ---- requests ---------------------------------------------------------------------------
 
@@ -679,6 +691,7 @@
         item.standing, host.standing[event.request], host.good_at = True, item, self.now
         host.voices.clear()
         self.hung.pop(event.host, None)
+        self.empty_out(host)
         if host.trial == event.request:
             host.trial = -1
         self.setting_up -= 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,9 +4,14 @@
 
 from typing import Any
 
+from hypothesis import settings
+
 from linnetshift import interface as api
 from linnetshift.policy import Balancer
 
+settings.register_profile("same", derandomize=True, deadline=None)  # one verdict for one text, always
+settings.load_profile("same")
+
 MS = 1_000_000
 S = 1_000_000_000
 
--- /dev/null
+++ b/tests/proxy.py
@@ -0,0 +1,260 @@
+"""Starts the real program and stands in for its clients, providers and directory; waits are bounded."""
+
+from __future__ import annotations
+
+import json
+import os
+import queue
+import re
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from conftest import MS, S, raw_settings
+
+ROOT = Path(__file__).parent.parent
+WAIT = 20.0  # no wait is longer; all of them end with the event waited for
+OPEN = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,t=acme,d=%d\r\n"
+
+
+class Conn:
+    """One end of a connection, read line by line."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(WAIT)
+        self.held = b""
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def exactly(self, size: int) -> bytes:
+        while len(self.held) < size and (got := self.sock.recv(65536)):
+            self.held += got
+        taken, self.held = self.held[:size], self.held[size:]
+        return taken
+
+    def line(self) -> bytes:
+        """The next line; what is left, or nothing, at the end."""
+        while b"\n" not in self.held and (got := self.sock.recv(65536)):
+            self.held += got
+        line, end, self.held = self.held.partition(b"\n")
+        return line + end
+
+    def ended(self) -> str:
+        """How the other side ended it; lines that still come before that are a mistake."""
+        try:
+            rest = self.line()
+        except ConnectionResetError:
+            return "reset"
+        assert not rest
+        return "fin"
+
+    def close(self, how: str = "fin") -> None:
+        if how == "reset":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+
+class Listener:
+    """A provider: the test itself accepts and answers."""
+
+    def __init__(self, uid: str) -> None:
+        self.uid, self.state, self.boot_ms = uid, "SERVING", 0
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.settimeout(WAIT)
+        self.port = self.sock.getsockname()[1]
+
+    def accept(self) -> Conn:
+        return Conn(self.sock.accept()[0])
+
+    def serve(self) -> Conn:
+        """Accept one connection, read its first line and let it stand."""
+        conn = self.accept()
+        conn.first = conn.line()  # type: ignore[attr-defined]
+        conn.send(b"UP r1\r\n")
+        return conn
+
+    def entry(self) -> dict[str, Any]:
+        return {
+            "uid": self.uid,
+            "endpoint": f"127.0.0.1:{self.port}",
+            "az": "a",
+            "model": "m",
+            "pod_group": 0,
+            "state": self.state,
+            "capacity_hint": 1.0,
+            "boot_ms": self.boot_ms,
+        }
+
+
+class Directory:
+    """Answers list calls; a watch waits for news. `failing` makes every call a 503."""
+
+    def __init__(self, listeners: list[Listener]) -> None:
+        self.listeners, self.rev, self.failing = listeners, 1, False
+        self.news = threading.Condition()
+        self.calls: queue.Queue[str] = queue.Queue()
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            def do_GET(self) -> None:
+                outer.calls.put(self.path)
+                asked = parse_qs(urlsplit(self.path).query)
+                with outer.news:
+                    if "since" in asked and not outer.failing:
+                        wait = int(asked["timeout_ms"][0]) / 1000
+                        since = int(asked["since"][0])
+                        outer.news.wait_for(lambda: outer.rev > since or outer.failing, wait)
+                    body = json.dumps(outer.listing()).encode()
+                self.send_response(503 if outer.failing else 200)
+                self.send_header("Content-Length", str(len(body)))
+                with suppress(ConnectionError):  # the proxy is gone at a test's end
+                    self.end_headers()
+                    self.wfile.write(body)
+
+            def log_message(self, *_: object) -> None:
+                pass
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
+
+    def listing(self) -> dict[str, Any]:
+        return {"rev": self.rev, "all": True, "targets": [each.entry() for each in self.listeners]}
+
+    def change(self, **changes: str) -> None:
+        """New states by uid, told to whoever watches."""
+        with self.news:
+            for listener in self.listeners:
+                listener.state = changes.get(listener.uid, listener.state)
+            self.rev += 1
+            self.news.notify_all()
+
+    def fail(self, failing: bool) -> None:
+        with self.news:
+            self.failing = failing
+            self.news.notify_all()
+
+
+class Proxy:
+    """The real program, running."""
+
+    def __init__(self, process: subprocess.Popen[str], port: int, extra_port: int) -> None:
+        self.process, self.port, self.extra_port = process, port, extra_port
+        self.listeners: list[Listener] = []
+        self.directory: Directory
+        self.lines: queue.Queue[str] = queue.Queue()
+        self.seen: list[str] = []
+        threading.Thread(target=self.read, daemon=True).start()
+
+    def read(self) -> None:
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            self.lines.put(line)
+
+    def logged(self, pattern: str) -> str:
+        """Waits for the next log line that holds the pattern."""
+        while True:
+            line = self.lines.get(timeout=WAIT)
+            self.seen.append(line)
+            if re.search(pattern, line):
+                return line
+
+    def client(self, line: bytes = b"", port: int = 0) -> Conn:
+        conn = Conn(socket.create_connection(("127.0.0.1", port or self.port), WAIT))
+        if line:
+            conn.send(line)
+        return conn
+
+    def open(self, wait_ms: int = 2000) -> Conn:
+        return self.client(OPEN % wait_ms)
+
+    def standing(self, listener: int = 0) -> tuple[Conn, Conn]:
+        """A served consumer and the provider's end of it."""
+        consumer = self.open()
+        provider = self.listeners[listener].serve()
+        assert consumer.line() == b"UP r1\r\n"
+        return consumer, provider
+
+    def alive(self) -> bool:
+        return self.client(b"PING\r\n").line() == b"PONG\r\n"
+
+    def leave(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port: int = sock.getsockname()[1]
+    return port
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    base = raw_settings(discovery="ask", tenants=[{"name": "acme"}, {"name": "other"}], zones=["a"])
+    base["rules"]["mustAskInNs"] = 1 * S
+    base["allowed"]["connectTimeoutNs"] = 500 * MS
+    for key, value in changes.items():
+        base[key] = {**base[key], **value} if isinstance(value, dict) else value
+    return base
+
+
+def launch(
+    config: str, own: str = "/dev/null", before: Callable[[], None] | None = None
+) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "linnetshift"],
+        cwd=ROOT,
+        env={**os.environ, "GW_CONFIG": config, "LINNETSHIFT_BROKER": own},
+        stderr=subprocess.PIPE,
+        text=True,
+        preexec_fn=before,
+    )
+
+
+@contextmanager
+def proxy(
+    folder: Path,
+    providers: int = 1,
+    own: str = "",
+    before: Callable[[], None] | None = None,
+    **changes: Any,
+) -> Iterator[Proxy]:
+    """`own` is the broker's own file; PORT in it is the proxy's `extra_port`."""
+    listeners = [Listener(f"s-{n}") for n in range(providers)]
+    directory = Directory(listeners)
+    port, extra = free_port(), free_port()
+    config, own_file = folder / "config.json", folder / "broker.toml"
+    config.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": f"127.0.0.1:{port}",
+                "discovery": f"127.0.0.1:{directory.server.server_address[1]}",
+                "seed": "8c1f30d27a5be964",
+                "known": directory.listing(),
+                "settings": settings(**changes),
+            }
+        )
+    )
+    own_file.write_text(own.replace("PORT", str(extra)))
+    running = Proxy(launch(str(config), str(own_file), before), port, extra)
+    running.listeners, running.directory = listeners, directory
+    try:
+        running.logged("event=started")
+        yield running
+    finally:
+        running.process.kill()
+        running.process.wait(WAIT)
+        directory.server.shutdown()
+        for listener in listeners:
+            listener.sock.close()
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,62 @@
+"""Connections leave a host that drains, at a pace, and no faster than a cold host can take them."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import MS, S, balancer, entry, host, listed, only, request
+
+from linnetshift import interface as api
+from linnetshift.policy import TICK_TOKEN, Balancer
+
+STANDING = 40
+
+
+def full_host(**others: int) -> Balancer:
+    """Two hosts; everything stands on the first, as the second was not there."""
+    node = balancer(hosts=1)
+    for number in range(STANDING):
+        (sent,) = only(node.step(1 * S, [request(number)]), api.Send)
+        node.step(1 * S, [api.Established(number, 0, sent.host, 5 * MS)])
+    node.step(1 * S, [listed(entry(0), entry(1, **others))])
+    return node
+
+
+def moves(node: Balancer, ticks: int) -> list[int]:
+    """How many are told to move at each of the ticks."""
+    return [
+        len(only(node.step(1 * S + tick * 50 * MS, [api.TimerFired(TICK_TOKEN)]), api.Move))
+        for tick in range(1, ticks + 1)
+    ]
+
+
+@pytest.mark.parametrize("state", [api.HostState.DRAINING, api.HostState.GONE])
+def test_all_move_a_few_at_a_time(state: api.HostState) -> None:
+    node = full_host()
+    first = node.step(1 * S, [listed(entry(0, state=state), form=api.ListForm.DELTA)])
+    assert not only(first, api.Move)  # not all at the moment of the news
+    paced = moves(node, 200)
+    assert sum(paced) == STANDING and max(paced) <= STANDING // 8
+
+
+def test_a_cold_target_sets_the_pace() -> None:
+    # A wave of moved clients at a host that has just started would push it over.
+    warm, cold = full_host(), full_host(started_ns=1 * S)
+    for node in (warm, cold):
+        node.step(1 * S, [listed(entry(0, state=api.HostState.DRAINING), form=api.ListForm.DELTA)])
+    assert sum(moves(cold, 20)) < sum(moves(warm, 20))
+
+
+def test_nobody_moves_where_there_is_nowhere_else() -> None:
+    node = full_host(state=api.HostState.DRAINING)
+    node.step(1 * S, [listed(entry(0, state=api.HostState.DRAINING), form=api.ListForm.DELTA)])
+    assert sum(moves(node, 50)) == 0
+
+
+def test_what_comes_to_stand_late_moves_too() -> None:
+    node = balancer(hosts=2)
+    (sent,) = only(node.step(1 * S, [request(1)]), api.Send)
+    number = 0 if sent.host == host(0) else 1
+    draining = entry(number, state=api.HostState.DRAINING)
+    node.step(1 * S, [listed(draining, form=api.ListForm.DELTA)])
+    node.step(1 * S, [api.Established(1, 0, sent.host, 5 * MS)])
+    assert sum(moves(node, 200)) == 1
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,302 @@
+"""The real program, met as its clients, its providers and its directory meet it."""
+
+from __future__ import annotations
+
+import json
+import resource
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from proxy import OPEN, WAIT, Conn, Listener, Proxy, launch, proxy
+
+
+@pytest.fixture
+def one(tmp_path: Path) -> Iterator[Proxy]:
+    with proxy(tmp_path) as running:
+        yield running
+
+
+def test_serves_and_passes_lines_on(one: Proxy) -> None:
+    consumer = one.open(2000)
+    provider = one.listeners[0].accept()
+    head, _, told = provider.line().partition(b",d=")
+    assert head == OPEN.partition(b",d=")[0]
+    assert 0 < int(told) <= 2000  # what remains of the consumer's patience, never more
+    provider.send(b"UP a b\r\nLOAD 12.5\r\nfirst\r\n")
+    assert [consumer.line() for _ in range(3)] == [b"UP a b\r\n", b"LOAD 12.5\r\n", b"first\r\n"]
+    consumer.send(b"M 1 x\r\nM 2")
+    assert provider.line() == b"M 1 x\r\n"
+    consumer.send(b" y\r\n")
+    assert provider.line() == b"M 2 y\r\n"
+    provider.send(b"BYE\r\n")
+    provider.close()
+    assert consumer.line() == b"BYE\r\n"
+    assert consumer.ended() == "fin"
+    consumer.close()
+    assert "side=consumer" in one.logged("reason=served id=1 .*peer")
+
+
+@pytest.mark.parametrize("how", ["fin", "reset"])
+@pytest.mark.parametrize("side", ["consumer", "provider"])
+def test_ends_the_other_side_the_same_way(one: Proxy, side: str, how: str) -> None:
+    # A reset passed on as a plain end would look like a connection served to its end.
+    consumer, provider = one.standing()
+    ending, other = (consumer, provider) if side == "consumer" else (provider, consumer)
+    ending.close(how)
+    assert other.ended() == how
+    other.close()
+    code = f"reason={side}-{'left' if how == 'fin' else 'reset'}"
+    first, second = one.logged(code), one.logged(code)
+    assert {"side=consumer", "side=provider"} == {
+        line.split("event=ended ")[1].split()[0] for line in (first, second)
+    }
+
+
+def refuse(listener: Listener) -> None:
+    listener.sock.close()
+
+
+def answer(listener: Listener, reply: bytes, how: str) -> Conn:
+    conn = listener.accept()
+    conn.line()
+    if reply:
+        conn.send(reply)
+    if how:
+        conn.close(how)
+    return conn
+
+
+@pytest.mark.parametrize(
+    "reply, how, reason",
+    [
+        (b"ERR\r\n", "fin", "error"),
+        (b"BUSY\r\n", "fin", "turned-away"),
+        (b"MOVE\r\n", "fin", "sent-away"),
+        (b"", "fin", "provider-left"),
+        (b"", "reset", "provider-reset"),
+        (b"", "", "timed-out"),
+        (b"nonsense\r\n", "fin", "error"),
+        (b"", "refused", "unreachable"),
+    ],
+)
+def test_a_failed_attempt_is_closed_before_the_next(
+    tmp_path: Path, reply: bytes, how: str, reason: str
+) -> None:
+    # Two attempts of one request out together would break a rule, whatever became of the first.
+    with proxy(tmp_path, providers=2) as running:
+        first, second = ranked(running)
+        if how == "refused":
+            first.sock.close()
+        consumer = running.open(2000)
+        conn = None if how == "refused" else answer(first, reply, how)
+        provider = second.accept()
+        if conn is not None and not how:
+            assert conn.ended() in ("fin", "reset")  # already there: no wait is needed
+        provider.line()
+        provider.send(b"UP r2\r\n")
+        assert consumer.line() == b"UP r2\r\n"
+        running.logged(f"side=provider reason={reason} .*attempt=0")
+
+
+def ranked(running: Proxy) -> tuple[Listener, Listener]:
+    """The providers in the order in which the key that all tests use is placed."""
+    consumer = running.open()
+    for listener in running.listeners:
+        listener.sock.settimeout(0.2)
+        try:
+            conn = listener.serve()
+        except TimeoutError:
+            continue
+        finally:
+            listener.sock.settimeout(WAIT)
+        consumer.line()
+        consumer.close()
+        conn.close()
+        running.logged("side=consumer reason=consumer-left")
+        return listener, next(other for other in running.listeners if other is not listener)
+    raise AssertionError("placed nowhere")
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HELLO\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=100\n",
+        b"OPEN xyz 2 c=feed,t=acme,d=100\r\n",
+        b"OPEN 1 12345678901234567 c=feed,t=acme,d=100\r\n",
+        b"OPEN 1 2 c=feed,d=100,g=-1\r\n",
+        b"OPEN 1 2 c=unheard-of,t=acme,d=100\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=soon\r\n",
+        b"OPEN 1 2\r\n",
+        b"\xff\xfe\r\n",
+        b"x" * 5000,
+    ],
+)
+def test_a_bad_first_line_fails_alone(one: Proxy, line: bytes) -> None:
+    # What one consumer sends must neither be passed on (it voids the run) nor hurt the others.
+    consumer = one.client(line)
+    assert consumer.line() == b"FAIL\r\n"
+    consumer.close()
+    one.logged("side=consumer reason=bad-line")
+    assert one.alive()
+
+
+@pytest.mark.parametrize("asked, answer", [(b"PING\r\n", b"PONG\r\n"), (b"STATS\r\n", b"NO\r\n")])
+def test_readiness(one: Proxy, asked: bytes, answer: bytes) -> None:
+    conn = one.client(asked)
+    assert conn.line() == answer
+    conn.send(b"PING\r\n")
+    assert conn.line() == b"PONG\r\n"
+    conn.close()
+    one.logged("reason=probed")
+
+
+def test_unknown_names_do_not_matter(one: Proxy) -> None:
+    consumer = one.client(b"OPEN 1 2 c=feed,t=nobody,zz=9,h=many,d=1000\r\n")
+    one.listeners[0].serve()
+    assert consumer.line() == b"UP r1\r\n"
+
+
+def test_a_rejection_says_when_to_come_again(one: Proxy) -> None:
+    # Given up by the module, so answered at once and long before the consumer's own 60 s.
+    consumer = one.open(60000)
+    for _ in range(4):
+        answer(one.listeners[0], b"BUSY\r\n", "fin")
+    assert consumer.line() == b"BUSY 1000\r\n"
+    one.logged("side=consumer reason=rejected")
+
+
+def test_a_silent_provider_costs_no_more_than_the_deadline(one: Proxy) -> None:
+    consumer = one.open(300)
+    one.listeners[0].accept()
+    assert consumer.line() in (b"FAIL\r\n", b"BUSY 1000\r\n", b"BUSY\r\n")
+
+
+def test_a_consumer_that_leaves_takes_its_attempt_along(one: Proxy) -> None:
+    consumer = one.open()
+    provider = one.listeners[0].accept()
+    provider.line()
+    consumer.close()
+    assert provider.ended() in ("fin", "reset")
+    one.logged("side=consumer reason=withdrawn")
+
+
+def test_an_adopted_connection_goes_to_its_holder(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=2) as running:
+        _, second = ranked(running)
+        line = b"OPEN 1 7f3a9c21e0b4d655 c=feed,t=acme,d=2000,at=%s\r\n" % second.uid.encode()
+        consumer = running.client(line)
+        provider = second.serve()
+        assert b",at=" + second.uid.encode() in provider.first  # type: ignore[attr-defined]
+        assert consumer.line() == b"UP r1\r\n"
+
+
+def test_nothing_is_lost_on_a_consumer_that_reads_late(one: Proxy) -> None:
+    # Reading on while a consumer does not would fill memory; dropping would lose lines.
+    consumer, provider = one.standing()
+    lines = 3000
+    data = b"".join(b"%08d" % n + b"y" * 1014 + b"\r\n" for n in range(lines))
+    writer = threading.Thread(target=provider.send, args=(data,), daemon=True)
+    writer.start()
+    for n in range(lines):
+        assert consumer.line() == b"%08d" % n + b"y" * 1014 + b"\r\n"
+    writer.join(WAIT)
+    assert one.alive()
+
+
+@pytest.mark.parametrize("unfinished", [b"", b"half a li"])
+def test_a_draining_provider_is_left_between_two_lines(tmp_path: Path, unfinished: bytes) -> None:
+    # The inherited module moved nobody: what stood on a draining provider was cut off when it stopped.
+    with proxy(tmp_path, providers=2) as running:
+        first, second = ranked(running)
+        consumer = running.open()
+        provider = first.serve()
+        consumer.line()
+        provider.send(b"whole\r\n" + unfinished)
+        assert consumer.line() == b"whole\r\n"
+        running.directory.change(**{first.uid: "DRAINING"})
+        assert consumer.line() == b"MOVE\r\n"
+        assert consumer.ended() == "fin"
+        assert provider.ended() in ("fin", "reset")
+        running.logged("side=consumer reason=moved")
+        again = running.open()
+        second.serve()
+        assert again.line() == b"UP r1\r\n"
+
+
+def test_a_provider_that_brings_nothing_back_is_left(one: Proxy) -> None:
+    # A machine that vanished sends no reset; only the missing reply tells.
+    consumer, _provider = one.standing()
+    consumer.send(b"M 1 x\r\n")
+    assert consumer.line() == b"MOVE\r\n"
+    one.logged("side=consumer reason=silent")
+
+
+def test_a_planned_stop_answers_and_moves_everyone(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=1) as running:
+        standing = [running.standing() for _ in range(5)]
+        waiting = running.open(60000)
+        running.listeners[0].accept().line()
+        running.leave()
+        for consumer, provider in standing:
+            assert consumer.line() == b"MOVE\r\n"
+            consumer.close()
+            assert provider.ended() in ("fin", "reset")
+        assert waiting.line() in (b"FAIL\r\n", b"BUSY\r\n", b"BUSY 1000\r\n")
+        waiting.close()
+        assert running.process.wait(WAIT) == 0
+
+
+def test_the_directory_is_watched_and_missed(tmp_path: Path) -> None:
+    with proxy(tmp_path) as running:
+        directory = running.directory
+        assert directory.calls.get(timeout=WAIT).startswith("/catalog/members?since=1&timeout_ms=")
+        directory.fail(True)
+        running.logged("event=directory-call-failed")
+        running.standing()  # the old list stands
+        directory.fail(False)
+        directory.change()
+        while "since=2" not in directory.calls.get(timeout=WAIT):
+            pass  # the calls that failed; the watch goes on from what the next one brought
+
+
+def test_without_descriptors_it_waits_and_lives(tmp_path: Path) -> None:
+    # Accepting again at once would spin; dying would lose every connection that stands.
+    def few() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40))
+
+    with proxy(tmp_path, before=few) as running:
+        crowd = [running.client() for _ in range(60)]
+        running.logged("event=accept-paused")
+        for conn in crowd:
+            conn.close()
+        running.standing()
+
+
+@pytest.mark.parametrize(
+    "text, says",
+    [
+        (None, "cannot read"),
+        ("{", "is not JSON"),
+        ("[]", "holds no settings"),
+        (json.dumps({"settings": {}}), "'listen' is missing"),
+        (json.dumps({"listen": "here", "discovery": "127.0.0.1:1", "settings": {}}), "ADDRESS:PORT"),
+        (json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": {}}), "settings key"),
+    ],
+)
+def test_a_bad_configuration_is_said_in_one_line(tmp_path: Path, text: str | None, says: str) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    process = launch(str(path))
+    _, error = process.communicate(timeout=WAIT)
+    assert process.returncode == 2
+    assert says in error and error.count("\n") == 1
+
+
+def test_an_address_in_use_is_said_in_one_line(one: Proxy, tmp_path: Path) -> None:
+    process = launch(str(tmp_path / "config.json"))
+    _, error = process.communicate(timeout=WAIT)
+    assert process.returncode == 2 and error.count("\n") == 1
