Show the channels front, contracts and VRRP with stand-in terminals and gateways

Tests start the real program: a gateway that stalls one channel, a terminal that stalls one, a drain that moves one provider's channels only, each refusal's code, malformed packets, windows, a planned stop, breaches of contract, and the front that listens only while VRRP says active. Two faults of the tests themselves were found: a provider's end that was collected early, and a checksum wrongly worked out.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -6,6 +6,7 @@
 import os
 import queue
 import re
+import select
 import signal
 import socket
 import struct
@@ -65,6 +66,62 @@
         self.sock.close()
 
 
+class Terminal(Conn):
+    """A stand-in for a shop counter's terminal: SSH's framing and channels, written anew for the tests."""
+
+    def __init__(self, port: int) -> None:
+        super().__init__(socket.create_connection(("127.0.0.1", port), WAIT))
+        self.send(b"SSH-2.0-terminal\r\n")
+        assert self.line().startswith(b"SSH-2.0-")
+
+    def packet(self, *fields: int | bytes) -> None:
+        """The first field is the message's number; whole numbers are uint32, bytes are strings."""
+        kind, rest = fields[0], fields[1:]
+        assert isinstance(kind, int)
+        payload = bytes([kind]) + b"".join(
+            struct.pack(">I", f) if isinstance(f, int) else struct.pack(">I", len(f)) + f for f in rest
+        )
+        self.raw(payload)
+
+    def raw(self, payload: bytes) -> None:
+        padding = 4 + -(len(payload) + 9) % 8
+        self.send(struct.pack(">IB", len(payload) + padding + 1, padding) + payload + bytes(padding))
+
+    def read(self) -> tuple[int, bytes]:
+        """The next message's number and what follows it."""
+        head = self.exactly(5)
+        assert len(head) == 5, "the connection ended"
+        length, padding = struct.unpack(">IB", head)
+        assert (length + 4) % 8 == 0 and padding >= 4
+        payload = self.exactly(length - 1)[: length - 1 - padding]
+        return payload[0], payload[1:]
+
+    def expect(self, kind: int, *numbers: int) -> bytes:
+        """The next message, which must be this one for these numbers; what follows them."""
+        got, rest = self.read()
+        size = 4 * len(numbers)
+        assert (got, struct.unpack(f">{len(numbers)}I", rest[:size])) == (kind, numbers), (got, rest)
+        return rest[size:]
+
+    def open(
+        self,
+        number: int,
+        key: int = 7,
+        wait_ms: int = 2000,
+        window: int = 1 << 20,
+        klass: bytes = b"feed",
+        kind: bytes = b"invocation@linnetshift",
+        tenant: bytes = b"acme",
+    ) -> None:
+        head = b"\x5a" + struct.pack(">I", len(kind)) + kind + struct.pack(">III", number, window, 1 << 15)
+        names = b"".join(struct.pack(">I", len(name)) + name for name in (klass, tenant))
+        self.raw(head + names + struct.pack(">QQI", key, 0, wait_ms))
+
+    def confirmed(self, number: int) -> int:
+        """The proxy's number for a channel that was opened."""
+        return int.from_bytes(self.expect(91, number)[:4], "big")
+
+
 class Listener:
     """A provider: the test itself accepts and answers."""
 
@@ -186,6 +243,12 @@
         assert consumer.line() == b"UP r1\r\n"
         return consumer, provider
 
+    def serve_any(self) -> tuple[Listener, Conn]:
+        """Serve the next attempt wherever the key's ranking sends it."""
+        ready, _, _ = select.select([each.sock for each in self.listeners], [], [], WAIT)
+        listener = next(each for each in self.listeners if each.sock in ready)
+        return listener, listener.serve()
+
     def alive(self) -> bool:
         return self.client(b"PING\r\n").line() == b"PONG\r\n"
 
--- /dev/null
+++ b/tests/test_channels.py
@@ -0,0 +1,256 @@
+"""The channels front: stand-in terminals and gateways around the real program."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+from proxy import Conn, Listener, Proxy, Terminal, proxy
+
+ON = '[channels]\nenabled = true\nlisten = "127.0.0.1:PORT"\n'
+DATA, ADJUST, EOF, CLOSE, REQUEST = 94, 93, 96, 97, 98
+
+
+@pytest.fixture
+def one(tmp_path: Path) -> Iterator[Proxy]:
+    with proxy(tmp_path, own=ON) as running:
+        yield running
+
+
+def served(running: Proxy, terminal: Terminal, number: int, **how: int) -> tuple[int, Listener, Conn]:
+    """The proxy's number for a new channel, its provider and the provider's end."""
+    terminal.open(number, **how)  # type: ignore[arg-type]
+    listener, provider = running.serve_any()
+    return terminal.confirmed(number), listener, provider
+
+
+def data(terminal: Terminal, number: int) -> bytes:
+    rest = terminal.expect(DATA, number)
+    assert int.from_bytes(rest[:4], "big") == len(rest) - 4
+    return rest[4:]
+
+
+def test_a_channel_is_served_to_its_end(one: Proxy) -> None:
+    terminal = Terminal(one.extra_port)
+    channel, _, provider = served(one, terminal, 5)
+    assert b" c=feed,t=acme,d=" in provider.first  # type: ignore[attr-defined]
+    terminal.packet(DATA, channel, b"M 1 x\r\n")
+    assert provider.line() == b"M 1 x\r\n"
+    provider.send(b"M 1 x\r\nBYE\r\n")
+    assert data(terminal, 5) == b"M 1 x\r\n"
+    assert data(terminal, 5) == b"BYE\r\n"
+    provider.close()
+    terminal.expect(EOF, 5)
+    terminal.expect(CLOSE, 5)
+    terminal.packet(CLOSE, channel)
+    one.logged("side=channel reason=served")
+
+
+def test_a_reset_is_told_apart_from_an_end(one: Proxy) -> None:
+    terminal = Terminal(one.extra_port)
+    _, _, provider = served(one, terminal, 5)
+    provider.close("reset")
+    assert b"reset@linnetshift" in terminal.expect(REQUEST, 5)
+    terminal.expect(CLOSE, 5)
+
+
+def turn_away(listener: Listener) -> None:
+    for _ in range(4):  # as many attempts as are allowed
+        conn = listener.accept()
+        conn.line()
+        conn.send(b"BUSY\r\n")
+        conn.close()
+
+
+def stay_silent(listener: Listener) -> None:
+    listener.accept()
+
+
+def nothing(listener: Listener) -> None:
+    pass
+
+
+@pytest.mark.parametrize(
+    "how, gateway, code, text",
+    [
+        ({}, turn_away, 4, b"come again after 1000 ms"),
+        ({"wait_ms": 300}, stay_silent, None, b""),
+        ({"klass": b"unheard-of"}, nothing, 2, b"unknown class"),
+        ({"tenant": b"a,at=s-0"}, nothing, 2, b"impossible tenant"),
+        ({"kind": b"session"}, nothing, 3, b"invocation@linnetshift"),
+    ],
+)
+def test_refusals(
+    one: Proxy, how: dict[str, int], gateway: Callable[[Listener], None], code: int | None, text: bytes
+) -> None:
+    # Each way of not being served has its own code, and a deadline is kept whatever the gateway does.
+    terminal = Terminal(one.extra_port)
+    terminal.open(3, **how)  # type: ignore[arg-type]
+    gateway(one.listeners[0])
+    rest = terminal.expect(92, 3)
+    assert int.from_bytes(rest[:4], "big") in ((2, 4) if code is None else (code,))
+    assert text in rest
+
+
+def test_a_gateway_that_stalls_one_channel_leaves_the_others_alone(one: Proxy) -> None:
+    # What one gateway does not read may fill that channel's window and nothing else.
+    terminal = Terminal(one.extra_port)
+    slow, _, stalled = served(one, terminal, 1)
+    quick, _, provider = served(one, terminal, 2)
+    line = b"z" * 1022 + b"\r\n"
+    for _ in range(32):
+        terminal.packet(DATA, slow, line)
+    for _ in range(100):
+        terminal.packet(DATA, quick, b"M 1 x\r\n")
+        assert provider.line() == b"M 1 x\r\n"
+        provider.send(b"M 1 x\r\n")
+        while (got := terminal.read())[0] == ADJUST:
+            pass
+        assert got[0] == DATA and got[1].endswith(b"M 1 x\r\n")
+    for _ in range(32):
+        assert stalled.line() == line  # held back by its gateway, not lost
+
+
+def test_a_terminal_that_stalls_one_channel_leaves_the_others_alone(one: Proxy) -> None:
+    # Lines without window wait on their own channel; the provider is read no further meanwhile.
+    terminal = Terminal(one.extra_port)
+    stalled, _, flood = served(one, terminal, 1, window=10)
+    _, _, provider = served(one, terminal, 2)
+    flood.send(b"0123456789ab\r\n" * 3)
+    assert data(terminal, 1) == b"0123456789"
+    for _ in range(50):
+        provider.send(b"quick\r\n")
+        assert data(terminal, 2) == b"quick\r\n"
+    terminal.packet(ADJUST, stalled, 32)
+    got = b""
+    while len(got) < 32:
+        got += data(terminal, 1)
+    assert got == (b"0123456789ab\r\n" * 3)[10:]
+
+
+def test_on_a_drain_only_that_providers_channels_move(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=2, own=ON) as running:
+        terminal = Terminal(running.extra_port)
+        held: dict[str, list[tuple[int, int, Conn]]] = {"s-0": [], "s-1": []}
+        for number in range(12):
+            channel, listener, provider = served(running, terminal, number, key=number + 1)
+            held[listener.uid].append((number, channel, provider))
+        assert held["s-0"] and held["s-1"]
+        running.directory.change(**{"s-0": "DRAINING"})
+        moved = set()
+        for _ in held["s-0"]:
+            kind, rest = terminal.read()
+            assert kind == REQUEST and b"move@linnetshift" in rest
+            number = int.from_bytes(rest[:4], "big")
+            terminal.expect(CLOSE, number)
+            moved.add(number)
+        assert moved == {number for number, _, _ in held["s-0"]}
+        for number, channel, provider in held["s-1"]:
+            terminal.packet(DATA, channel, b"still here\r\n")
+            assert provider.line() == b"still here\r\n"
+            provider.send(b"yes\r\n")
+            assert data(terminal, number) == b"yes\r\n"
+
+
+@pytest.mark.parametrize("how", ["close", "disconnect", "fin", "reset"])
+def test_a_consumer_that_ends_takes_its_providers_along(one: Proxy, how: str) -> None:
+    terminal = Terminal(one.extra_port)
+    channel, _, provider = served(one, terminal, 1)
+    if how == "close":
+        terminal.packet(CLOSE, channel)
+        terminal.expect(CLOSE, 1)
+    elif how == "disconnect":
+        terminal.packet(1, 11, b"done", b"")
+    else:
+        terminal.close(how)
+    assert provider.ended() == ("reset" if how == "reset" else "fin")
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        struct.pack(">IB", 0xFFFFFFFF, 4),
+        struct.pack(">IB", 12, 3) + bytes(11),
+        struct.pack(">IB", 12, 200) + bytes(11),
+        struct.pack(">IB", 13, 4) + bytes(12),
+        struct.pack(">IB", 12, 10) + bytes([90]) + bytes(10),
+        struct.pack(">IB", 12, 6) + bytes([94, 0, 0, 0, 9]) + bytes(6),
+        struct.pack(">IB", 28, 10) + bytes([91]) + bytes(26),
+    ],
+)
+def test_malformed_packets_end_the_session_alone(one: Proxy, sent: bytes) -> None:
+    other = Terminal(one.extra_port)
+    terminal = Terminal(one.extra_port)
+    terminal.send(sent)
+    assert terminal.expect(1, 2)
+    assert terminal.ended() == "fin"
+    one.logged("side=session reason=protocol-error")
+    assert served(one, other, 1)
+
+
+def test_data_beyond_the_window_ends_the_session(one: Proxy) -> None:
+    terminal = Terminal(one.extra_port)
+    channel, _, _ = served(one, terminal, 1)
+    terminal.packet(DATA, channel, bytes(32768 + 1))
+    assert b"window" in terminal.expect(1, 2)
+
+
+@pytest.mark.parametrize("line", [b"SSH-1.5-old\r\n", b"x" * 6000])
+def test_another_protocol_is_disconnected(one: Proxy, line: bytes) -> None:
+    conn = one.client(line, one.extra_port)
+    assert conn.line().startswith(b"SSH-2.0-")
+    conn.exactly(5)
+    assert conn.exactly(1) == b"\x01"
+
+
+def test_what_is_not_known_is_answered_by_the_book(one: Proxy) -> None:
+    terminal = Terminal(one.extra_port)
+    channel, _, provider = served(one, terminal, 1)
+    terminal.packet(80, b"keepalive@example", 1 << 24)  # a want-reply of 1 and three bytes that are ignored
+    terminal.expect(82)
+    terminal.raw(bytes([98]) + struct.pack(">II", channel, 3) + b"env\x01")
+    terminal.expect(100, 1)
+    terminal.packet(2, b"ignored")
+    terminal.packet(EOF, channel)
+    terminal.packet(200)
+    terminal.expect(3, 5)  # the sixth packet, counted from 0
+    provider.send(b"still served\r\n")
+    assert data(terminal, 1) == b"still served\r\n"
+
+
+def test_channels_move_before_a_planned_stop(one: Proxy) -> None:
+    terminal = Terminal(one.extra_port)
+    channel, _, _ = served(one, terminal, 1)
+    one.leave()
+    assert b"move@linnetshift" in terminal.expect(REQUEST, 1)
+    terminal.expect(CLOSE, 1)
+    terminal.packet(CLOSE, channel)
+    terminal.expect(1, 11)
+    assert one.process.wait(20) == 0
+
+
+CONTRACT = '[[contract]]\nteam = "acme"\n'
+
+
+@pytest.mark.parametrize(
+    "contract, tenant, limit",
+    [
+        (CONTRACT + "services = []\n", b"acme", b"service: come again after 60000 ms"),
+        (CONTRACT + "concurrency = 1\n", b"acme", b"concurrency: come again after 1000 ms"),
+        (CONTRACT + "rate_per_s = 0.001\nrate_burst = 1\n", b"acme", b"rate: come again after "),
+        (CONTRACT, b"other", b"team: come again after 60000 ms"),
+    ],
+)
+def test_a_breach_of_contract_says_when_to_come_again(
+    tmp_path: Path, contract: str, tenant: bytes, limit: bytes
+) -> None:
+    with proxy(tmp_path, own=ON + contract) as running:
+        terminal = Terminal(running.extra_port)
+        held = served(running, terminal, 1) if b"concurrency" in limit or b"rate" in limit else None
+        terminal.open(2, tenant=tenant)
+        assert limit in terminal.expect(92, 2, 1)
+        consumer = running.client(b"OPEN 1 2 c=feed,t=%s,d=2000\r\n" % tenant)
+        assert consumer.line().startswith(b"BUSY ")
+        del held
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -101,22 +101,14 @@
 
 
 def ranked(running: Proxy) -> tuple[Listener, Listener]:
-    """The providers in the order in which the key that all tests use is placed."""
+    """The two providers in the order in which the key that all tests use is placed."""
     consumer = running.open()
-    for listener in running.listeners:
-        listener.sock.settimeout(0.2)
-        try:
-            conn = listener.serve()
-        except TimeoutError:
-            continue
-        finally:
-            listener.sock.settimeout(WAIT)
-        consumer.line()
-        consumer.close()
-        conn.close()
-        running.logged("side=consumer reason=consumer-left")
-        return listener, next(other for other in running.listeners if other is not listener)
-    raise AssertionError("placed nowhere")
+    first, provider = running.serve_any()
+    consumer.line()
+    consumer.close()
+    provider.close()
+    running.logged("side=consumer reason=consumer-left")
+    return first, next(other for other in running.listeners if other is not first)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_vrrp.py
@@ -0,0 +1,128 @@
+"""VRRP: the advertisement's form, the state machine, and the front that listens only while active."""
+
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+
+import pytest
+from proxy import WAIT, Terminal, free_port, proxy
+
+from linnetshift.net.vrrp import Advertisement, BadAdvertisement, Router, State, VrrpConfig, decode
+
+# Version 3, type 1, VRID 7, priority 100, one address, 1 s, checksum, 192.0.2.1: worked out by hand.
+KNOWN = bytes.fromhex("310764010064a891c0000201")
+
+
+def test_the_form_is_the_standards() -> None:
+    advertisement = Advertisement(7, 100, 100, ("192.0.2.1",))
+    assert advertisement.encode() == KNOWN
+    assert decode(KNOWN) == advertisement
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", KNOWN[:7], KNOWN[:-1], KNOWN + bytes(4), b"\x21" + KNOWN[1:], KNOWN[:2] + b"\x65" + KNOWN[3:]],
+)
+def test_what_is_malformed_is_dropped(data: bytes) -> None:
+    with pytest.raises(BadAdvertisement):
+        decode(data)
+
+
+class Bench:
+    def __init__(self, priority: int, preempt: bool = True) -> None:
+        self.sent: list[int] = []
+        self.armed: list[float] = []
+        config = VrrpConfig(7, priority, 100, preempt, ("10.0.0.2", 1), (), ())
+        self.router = Router(config, self.sent.append, self.armed.append)
+        self.router.start()
+
+    def hear(self, priority: int, interval: int = 100, sender: str = "10.0.0.1") -> None:
+        self.router.heard(Advertisement(7, priority, interval, ()), sender)
+
+
+@pytest.mark.parametrize("priority, state", [(255, State.ACTIVE), (254, State.BACKUP), (1, State.BACKUP)])
+def test_only_the_owner_starts_active(priority: int, state: State) -> None:
+    assert Bench(priority).router.state is state
+
+
+def test_a_backup_waits_three_intervals_and_its_skew() -> None:
+    bench = Bench(156)
+    assert bench.armed == [300 + 100 * 100 / 256]
+    bench.hear(200, interval=50)  # the active one's interval counts
+    assert bench.armed[-1] == 150 + 100 * 50 / 256
+    bench.hear(0)  # it gives its part up
+    assert bench.armed[-1] == 100 * 50 / 256
+    bench.router.timer_fired()
+    assert bench.router.state is State.ACTIVE and bench.sent == [156]
+
+
+@pytest.mark.parametrize(
+    "preempt, heard, heeded", [(True, 99, False), (True, 100, True), (False, 1, True), (True, 101, True)]
+)
+def test_whom_a_backup_heeds(preempt: bool, heard: int, heeded: bool) -> None:
+    bench = Bench(100, preempt)
+    bench.hear(heard)
+    assert len(bench.armed) == (2 if heeded else 1)
+
+
+@pytest.mark.parametrize(
+    "heard, sender, state",
+    [
+        (101, "10.0.0.1", State.BACKUP),
+        (100, "10.0.0.3", State.BACKUP),
+        (100, "10.0.0.1", State.ACTIVE),
+        (99, "10.0.0.3", State.ACTIVE),
+        (0, "10.0.0.3", State.ACTIVE),
+    ],
+)
+def test_to_whom_an_active_one_yields(heard: int, sender: str, state: State) -> None:
+    bench = Bench(100)
+    bench.router.timer_fired()
+    bench.hear(heard, sender=sender)
+    assert bench.router.state is state
+    assert len(bench.sent) == (1 if state is State.BACKUP else 2)  # it asserts itself at once
+
+
+@pytest.mark.parametrize("active", [True, False])
+def test_shutting_down_releases_the_part(active: bool) -> None:
+    bench = Bench(255 if active else 100)
+    bench.router.stop()
+    assert bench.router.state is State.INITIALIZE
+    assert bench.sent == ([255, 0] if active else [])
+
+
+def test_the_front_listens_only_while_active(tmp_path: Path) -> None:
+    peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    peer.bind(("127.0.0.1", 0))
+    peer.settimeout(WAIT)
+    port = free_port()
+    own = f"""
+[channels]
+enabled = true
+listen = "127.0.0.1:PORT"
+[vrrp]
+enabled = true
+vrid = 7
+interval_cs = 20
+listen = "127.0.0.1:{port}"
+peers = ["127.0.0.1:{peer.getsockname()[1]}"]
+addresses = ["127.0.0.1"]
+"""
+    with proxy(tmp_path, own=own) as running:
+        with pytest.raises(ConnectionRefusedError):
+            running.client(port=running.extra_port)
+        assert decode(peer.recv(2048)) == Advertisement(7, 100, 20, ("127.0.0.1",))
+        terminal = Terminal(running.extra_port)
+        terminal.open(1)
+        _, provider = running.serve_any()
+        channel = terminal.confirmed(1)
+        peer.sendto(Advertisement(7, 200, 4095, ()).encode(), ("127.0.0.1", port))
+        assert b"move@linnetshift" in terminal.expect(98, 1)
+        terminal.expect(97, 1)
+        terminal.packet(97, channel)
+        terminal.expect(1, 11)
+        assert provider.ended() == "fin"
+        with pytest.raises(ConnectionRefusedError):
+            running.client(port=running.extra_port)
+        assert running.alive()  # the platform's front goes on
