Contain faults in the peer that met them; answer in the module's place when it is overdue

Now a peer ends alone with its trace logged, and the broker answers 8 ms past the deadline what the module has not. Endpoints of providers that left the list are forgotten. Keep-alives end half-open peers.

--- /dev/null
+++ b/example/toy_server.py
@@ -0,0 +1,100 @@
+"""Two toy gateways and a toy directory on loopback, for trying linnetshift out.
+
+    python example/toy_server.py
+
+A gateway serves whoever opens, sends every line back, and tells a load of its own making. The directory
+lists both. Type `drain 1`, `ready 1` (or 2) to change a gateway's state, `quit` to end.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import socketserver
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+DIRECTORY = ("127.0.0.1", 8500)
+GATEWAYS = {"1": ("127.0.0.1", 8101), "2": ("127.0.0.1", 8102)}
+states = dict.fromkeys(GATEWAYS, "SERVING")
+revision = 1
+news = threading.Condition()
+
+
+class Gateway(socketserver.StreamRequestHandler):
+    def handle(self) -> None:
+        port = self.server.server_address[1]
+        for line in self.rfile:
+            if line.startswith(b"OPEN "):
+                print(f"gateway {port}: {line.decode().strip()}", flush=True)
+                load = random.uniform(20_000, 90_000)
+                self.wfile.write(b"UP gateway-%d\r\nLOAD %.1f\r\n" % (port, load))
+            elif line in (b"PING\r\n", b"STATS\r\n"):
+                self.wfile.write(b"PONG\r\n")
+            elif line == b"done\r\n":
+                self.wfile.write(b"BYE\r\n")
+                return
+            else:
+                self.wfile.write(line)
+
+
+class Directory(BaseHTTPRequestHandler):
+    def do_GET(self) -> None:
+        asked = parse_qs(urlsplit(self.path).query)
+        with news:
+            if "since" in asked:
+                since, wait = int(asked["since"][0]), int(asked["timeout_ms"][0]) / 1000
+                news.wait_for(lambda: revision > since, wait)
+            targets = [
+                {
+                    "uid": f"gateway-{name}",
+                    "endpoint": f"{address}:{port}",
+                    "az": "dundee-dc",
+                    "model": "gw-small",
+                    "pod_group": 0,
+                    "state": states[name],
+                    "capacity_hint": 1.5,
+                    "boot_ms": 0,
+                }
+                for name, (address, port) in GATEWAYS.items()
+            ]
+            body = json.dumps({"rev": revision, "all": True, "targets": targets}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+
+class Server(socketserver.ThreadingTCPServer):
+    allow_reuse_address = daemon_threads = True
+
+
+def main() -> None:
+    global revision
+    servers: list[socketserver.BaseServer] = [Server(address, Gateway) for address in GATEWAYS.values()]
+    servers.append(ThreadingHTTPServer(DIRECTORY, Directory))
+    for server in servers:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+    print(f"gateways {GATEWAYS}, directory {DIRECTORY}", flush=True)
+    for words in map(str.split, sys.stdin):
+        if words == ["quit"]:
+            return
+        if len(words) == 2 and words[0] in ("drain", "ready") and words[1] in states:
+            with news:
+                states[words[1]] = "DRAINING" if words[0] == "drain" else "SERVING"
+                revision += 1
+                news.notify_all()
+        else:
+            print("drain 1, ready 1, drain 2, ready 2 or quit", flush=True)
+    while True:  # without a terminal, until it is ended
+        time.sleep(60)
+
+
+if __name__ == "__main__":
+    main()
--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -49,7 +49,7 @@
         self.departing = False
 
     def listed(self, roster: Roster) -> None:
-        self.gate.endpoints.update(roster.endpoints)
+        self.gate.listed(roster.event, roster.endpoints)
         self.broker.listed(roster.event)
 
     def elected(self, active: bool) -> None:
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -14,11 +14,13 @@
 from linnetshift.core.gauge import MessageGauge, Standing
 from linnetshift.core.invocation import Attempt, Consumer, Invocation
 from linnetshift.core.ports import Directory, Providers, Timers
-from linnetshift.interface import Outcome
+from linnetshift.interface import ListForm, Outcome
 from linnetshift.policy import Balancer
 
 # A connection that brings nothing back must be ended or moved within 7 s; this is looked at once a second.
 SILENT_NS = 4_000_000_000
+# The module's own answer comes by the deadline; this long after it the broker answers in its place.
+OVERDUE_NS = 8_000_000
 
 
 class Broker:
@@ -84,6 +86,8 @@
         self.post(api.TimerFired(token))
 
     def listed(self, event: api.HostList) -> None:
+        if event.form in (ListForm.FULL, ListForm.CACHED):
+            self.zones, self.gauge.weights = {}, {}
         for entry in event.entries:
             self.zones[entry.host] = entry.zone
             if entry.weight > 0.0:
@@ -106,6 +110,7 @@
             self.open(invocation, invocation.adopt, invocation.deadline)
             return
         left = max(1, invocation.deadline - invocation.began)
+        self.timers.later(left + OVERDUE_NS, lambda: self.overdue(invocation))
         self.post(
             api.Request(
                 invocation.id,
@@ -119,6 +124,13 @@
             )
         )
 
+    def overdue(self, invocation: Invocation) -> None:
+        """Whatever keeps the module from it, an answer is owed before the consumer gives up."""
+        if not invocation.answered:
+            self.post(api.Withdrawn(invocation.id))
+            self.answer(invocation.id)
+            invocation.consumer.fail()
+
     def up(self, attempt: Attempt, receipt: memoryview) -> None:
         """The provider serves: the final answer, and the start of the standing connection."""
         invocation, now = attempt.invocation, self.clock()
--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -206,16 +206,29 @@
             self.reason = Reason.PROTOCOL_ERROR
             log.note("malformed", peer=self.peer[0], error=str(error))
             self.disconnect(error.code, str(error))
-        reset = self.reason is Reason.CONSUMER_RESET
+        self.end_channels(self.reason is Reason.CONSUMER_RESET)
+        if not self.stream.broken and self.reason is not Reason.STALLED:
+            self.stream.finish()
+            yield from linger(self, self.stream)
+        self.stream.close()
+        self.report()
+
+    def faulted(self, error: Exception) -> None:
+        """Other sessions must not pay for a fault met in this one."""
+        log.fault(error)
+        self.reason = Reason.FAULT
+        self.end_channels(True)
+        self.stream.close(End.RESET)
+        self.report()
+
+    def end_channels(self, reset: bool) -> None:
         for channel in list(self.channels.values()):
             if channel.closing is None and not channel.close_sent:
                 channel.reason = self.reason or Reason.CONSUMER_LEFT
             self.broker.consumer_ended(channel.invocation, reset)
             self.drop(channel)
-        if not self.stream.broken and self.reason is not Reason.STALLED:
-            self.stream.finish()
-            yield from linger(self, self.stream)
-        self.stream.close()
+
+    def report(self) -> None:
         self.front.sessions.discard(self)
         log.ended(
             "session",
--- a/linnetshift/net/directory.py
+++ b/linnetshift/net/directory.py
@@ -94,6 +94,9 @@
             log.note("directory-call-failed", path=self.path, error=error)
         self.directory.post(Answer(self, document))
 
+    def gave_up(self) -> None:
+        self.directory.post(Answer(self, None))
+
     def exchange(self) -> Steps:
         stream = self.stream
         assert stream is not None
--- a/linnetshift/net/log.py
+++ b/linnetshift/net/log.py
@@ -36,6 +36,7 @@
     SHUT_DOWN = "shut-down"
     CHANNEL_CLOSED = "channel-closed"
     PROTOCOL_ERROR = "protocol-error"
+    FAULT = "fault"  # an error of this program's; its trace is logged beside
 
 
 class KeyValueFormatter(logging.Formatter):
@@ -74,6 +75,10 @@
     note("ended", side=side, reason=reason, **pairs)
 
 
+def fault(error: Exception) -> None:
+    logger.error("fault", exc_info=error)
+
+
 def set_up() -> None:
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
--- a/linnetshift/net/loop.py
+++ b/linnetshift/net/loop.py
@@ -75,8 +75,18 @@
         try:
             self.script.send(message)
         except StopIteration:
-            self.script = None
-            self.mailbox.clear()
+            self.end()
+        except Exception as error:
+            self.end()
+            self.faulted(error)
+
+    def end(self) -> None:
+        self.script = None
+        self.mailbox.clear()
+
+    def faulted(self, error: Exception) -> None:
+        """A fault in the script. Peers contain theirs; one of the others' ends the program."""
+        raise error
 
 
 class Loop:
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -21,7 +21,10 @@
         self.post(None)
 
     def wake(self, delay_ns: int, token: int) -> None:
-        self.loop.call_later(delay_ns, lambda: self.broker.timer_fired(token))
+        self.later(delay_ns, lambda: self.broker.timer_fired(token))
+
+    def later(self, delay_ns: int, fire: Callable[[], None]) -> None:
+        self.loop.call_later(delay_ns, fire)
 
     def live(self) -> Script:
         self.alarm(REVIEW_NS, "review")
@@ -29,8 +32,12 @@
             if (yield) == Timeout("review"):
                 self.alarm(REVIEW_NS, "review")
                 self.broker.review_messages()
-            else:
+                continue
+            try:
                 self.broker.drain()
+            except Exception as error:
+                # What stands goes on, and the broker answers what the module no longer does.
+                log.fault(error)
 
 
 # On a planned stop new connections keep arriving for up to 0.4 s; the kill comes no earlier than the
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -197,6 +197,17 @@
             self.stream.finish()
             yield from linger(self, self.stream)
         self.stream.close(how)
+        self.report(reason)
+
+    def faulted(self, error: Exception) -> None:
+        """Other consumers must not pay for a fault met on this one."""
+        log.fault(error)
+        if self.invocation is not None:
+            self.broker.consumer_ended(self.invocation, True)
+        self.stream.close(End.RESET)
+        self.report(Reason.FAULT)
+
+    def report(self, reason: Reason) -> None:
         self.front.consumers.discard(self)
         log.ended(
             "consumer",
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -9,9 +9,10 @@
 from collections.abc import Callable, Generator
 from typing import Any
 
+from linnetshift import interface as api
 from linnetshift.core.broker import Broker
 from linnetshift.core.invocation import Attempt
-from linnetshift.interface import Outcome
+from linnetshift.interface import HostState, ListForm, Outcome
 from linnetshift.net import log
 from linnetshift.net.log import Reason
 from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
@@ -47,6 +48,15 @@
     def ready(self, mask: int) -> None:
         self.post(Io(mask))
 
+    def faulted(self, error: Exception) -> None:
+        log.fault(error)
+        if self.stream is not None:
+            self.stream.close(End.RESET)
+        self.gave_up()
+
+    def gave_up(self) -> None:
+        """Report the failure to whoever waits for this peer."""
+
     def connect(self, endpoint: Endpoint, limit_ns: int) -> Steps:
         """Whether the connection came up in time."""
         try:
@@ -130,6 +140,13 @@
             if self.stream.closed:
                 self.reason = Reason.ABANDONED
             self.stream.close(End.RESET if reset and self.hung_up else End.FIN)
+        self.report(outcome, reset)
+
+    def gave_up(self) -> None:
+        self.reason = Reason.FAULT
+        self.report(Outcome.RESET, True)
+
+    def report(self, outcome: Outcome, reset: bool) -> None:
         log.ended(
             "provider",
             self.reason,
@@ -293,37 +310,48 @@
 
 
 class Prober(Dialing):
-    """One probe of a provider: PING, or STATS where reports are to be had."""
+    """One probe of a provider."""
+
+    def __init__(self, loop: Loop, told: Callable[[Outcome, int], None]) -> None:
+        super().__init__(loop)
+        self.told, self.began = told, loop.now()
 
-    def live(self, endpoint: Endpoint, told: Callable[[Outcome, int], None]) -> Script:
-        began = self.loop.now()
+    def live(self, endpoint: Endpoint) -> Script:
         outcome = Outcome.CONNECT_FAILED
         up = yield from self.connect(endpoint, PROBE_NS)
         stream = self.stream
         if up and stream is not None:
             stream.send(b"PING\r\n")
-            outcome = yield from self.answer(stream, PROBE_NS)
+            outcome = yield from self.answer(stream)
         if stream is not None:
             stream.close()
-        told(outcome, self.loop.now() - began)
+        self.told(outcome, self.loop.now() - self.began)
 
-    def answer(self, stream: Stream, limit_ns: int) -> Steps:
-        timer = self.alarm(limit_ns, "probe")
-        while True:
+    def gave_up(self) -> None:
+        self.told(Outcome.ERROR, self.loop.now() - self.began)
+
+    def answer(self, stream: Stream) -> Steps:
+        timer = self.alarm(PROBE_NS, "probe")
+        outcome: Outcome | None = None
+        while outcome is None:
             match (yield):
                 case Io(mask):
                     if mask & select.EPOLLOUT:
                         stream.flush()
                     end = stream.fill()
-                    line = stream.line()
+                    try:
+                        line = stream.line()
+                    except LineTooLong:
+                        outcome = Outcome.ERROR
+                        break
                     if line is not None:
-                        timer.cancel()
-                        return Outcome.OK if bytes(line).strip() == b"PONG" else Outcome.ERROR
-                    if end is not None:
-                        timer.cancel()
-                        return Outcome.RESET
+                        outcome = Outcome.OK if bytes(line).strip() == b"PONG" else Outcome.ERROR
+                    elif end is not None:
+                        outcome = Outcome.RESET
                 case Timeout(tag="probe"):
-                    return Outcome.TIMEOUT
+                    outcome = Outcome.TIMEOUT
+        timer.cancel()
+        return outcome
 
 
 class ProviderGate:
@@ -334,6 +362,15 @@
         self.endpoints: dict[bytes, Endpoint] = {}
         self.broker: Broker | None = None
 
+    def listed(self, event: api.HostList, endpoints: dict[bytes, Endpoint]) -> None:
+        """Keep the endpoints of what is listed and no others, or the map would grow for ever."""
+        if event.form in (ListForm.FULL, ListForm.CACHED):
+            self.endpoints = {}
+        self.endpoints.update(endpoints)
+        for entry in event.entries:
+            if entry.state == HostState.GONE:
+                self.endpoints.pop(entry.host, None)
+
     def open(self, attempt: Attempt) -> None:
         assert self.broker is not None
         endpoint = self.endpoints.get(attempt.provider)
@@ -350,8 +387,8 @@
         if endpoint is None:
             broker.probed(provider, Outcome.CONNECT_FAILED, 0, ())
             return
-        prober = Prober(self.loop)
-        prober.start(prober.live(endpoint, lambda o, ns: broker.probed(provider, o, ns, ())))
+        prober = Prober(self.loop, lambda outcome, ns: broker.probed(provider, outcome, ns, ()))
+        prober.start(prober.live(endpoint))
 
 
 def parse_endpoint(text: str) -> Endpoint:
--- a/linnetshift/net/stream.py
+++ b/linnetshift/net/stream.py
@@ -11,6 +11,14 @@
 from linnetshift.net.loop import Loop
 
 MAX_LINE = 4096
+# A peer that is gone without a word: unanswered keep-alives, or data left unacknowledged, end the connection.
+HALF_OPEN = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 15),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 20_000),
+)
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -38,6 +46,8 @@
         self.loop, self.sock, self.ready = loop, sock, ready
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for level, option, value in HALF_OPEN:
+            sock.setsockopt(level, option, value)
         self.fd = sock.fileno()
         self.buffer = bytearray(size)
         self.view = memoryview(self.buffer)
--- /dev/null
+++ b/tests/test_broker.py
@@ -0,0 +1,152 @@
+"""The broker by itself, with stand-ins for what is around it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from conftest import MS, S, entry, host, listed, raw_settings
+
+from linnetshift import interface as api
+from linnetshift.contracts import Budget, Contract, Contracts
+from linnetshift.core.broker import Attempt, Broker, Invocation
+from linnetshift.interface import Outcome
+
+
+class Around:
+    """Timers, directory, providers and a consumer; it writes down what it is asked for."""
+
+    congested = False
+
+    def __init__(self, contracts: Contracts | None = None) -> None:
+        self.now = 1 * S
+        self.asked: list[object] = []
+        self.timers: list[tuple[int, Callable[[], None]]] = []
+        self.attempts: list[Attempt] = []
+        settings = api.Settings.parse(raw_settings())
+        made = contracts or Contracts()
+        self.broker = Broker(settings, 1, lambda: self.now, self, self, self, made)
+        self.broker.listed(listed(*(entry(n) for n in range(4))))
+        self.broker.drain()
+
+    def invoke(self, wait_ns: int = 1 * S, flags: int = 0) -> Invocation:
+        made = Invocation(self, 0, 0, 7, 0, flags, 0, self.now + wait_ns, lambda ms: b"%d" % ms)
+        self.broker.invoke(made)
+        self.broker.drain()
+        return made
+
+    def wake(self, delay_ns: int, token: int) -> None:
+        self.later(delay_ns, lambda: self.broker.timer_fired(token))
+
+    def later(self, delay_ns: int, fire: Callable[[], None]) -> None:
+        self.timers.append((self.now + delay_ns, fire))
+
+    def soon(self) -> None: ...
+
+    def watch(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+    def probe(self, provider: bytes) -> None: ...
+
+    def open(self, attempt: Attempt) -> None:
+        self.attempts.append(attempt)
+
+    def up(self, receipt: memoryview) -> None:
+        self.asked.append("up")
+
+    def deliver(self, message: memoryview) -> None: ...
+
+    def resume(self) -> None: ...
+
+    def reject(self, retry_after_ns: int, breach: str) -> None:
+        self.asked.append(("reject", retry_after_ns, breach))
+
+    def fail(self) -> None:
+        self.asked.append("fail")
+
+    def move(self, reason: str) -> None:
+        self.asked.append(("move", reason))
+
+    def provider_ended(self, outcome: int, reset: bool) -> None:
+        self.asked.append(("ended", outcome, reset))
+
+    def pass_time(self, until: int) -> None:
+        self.now = until
+        due = [fire for at, fire in self.timers if at <= until]
+        self.timers = [(at, fire) for at, fire in self.timers if at > until]
+        for fire in due:
+            fire()
+        self.broker.drain()
+
+
+def test_an_answer_comes_even_from_a_module_that_forgets() -> None:
+    around = Around()
+    around.broker.balancer.step = lambda now, events: []  # type: ignore[method-assign]
+    around.invoke(1 * S)
+    around.pass_time(2 * S)
+    assert around.asked == []
+    around.pass_time(2 * S + 20 * MS)
+    assert around.asked == ["fail"]
+
+
+def test_one_final_answer_and_no_second_attempt_beside_the_first() -> None:
+    around = Around()
+    invocation = around.invoke()
+    (attempt,) = around.attempts
+    around.broker.perform(api.Send(invocation.id, host(2), 0))
+    assert around.attempts == [attempt]  # the module's mistake must not break the rule
+    around.broker.up(attempt, memoryview(b"UP\r\n"))
+    around.broker.perform(api.Fail(invocation.id))
+    around.broker.perform(api.Refuse(invocation.id, 0))
+    around.pass_time(9 * S)
+    assert around.asked == ["up"]
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.ERROR])
+def test_a_failed_attempt_is_followed_by_another(outcome: Outcome) -> None:
+    around = Around()
+    around.invoke()
+    around.broker.ended(around.attempts[0], outcome)
+    around.broker.drain()
+    assert [attempt.number for attempt in around.attempts] == [0, 1]
+
+
+def test_what_was_reported_too_late_changes_nothing() -> None:
+    around = Around()
+    invocation = around.invoke()
+    around.broker.consumer_ended(invocation, False)
+    around.broker.ended(around.attempts[0], Outcome.RESET)
+    around.broker.drain()
+    assert around.asked == [] and len(around.attempts) == 1
+
+
+def test_a_contract_is_released_with_its_invocation() -> None:
+    # A place kept by an invocation that is over would in time shut its team out.
+    around = Around(Contracts({0: Contract(concurrency=1)}))
+    first = around.invoke()
+    around.invoke()
+    assert around.asked == [("reject", 1 * S, "concurrency")]
+    around.broker.consumer_ended(first, False)
+    around.invoke()
+    assert len(around.asked) == 1
+
+
+@pytest.mark.parametrize(
+    "contract, flags, limit, wait",
+    [
+        (Contract(services=frozenset()), 0, "service", 60 * S),
+        (Contract(rate=Budget(2.0, 1.0)), 0, "rate", S // 2),
+        (Contract(retries=Budget(4.0, 1.0)), api.RETRY, "retries", S // 4),
+        (Contract(retries=Budget(4.0, 1.0)), 0, "", 0),
+    ],
+)
+def test_breaches_say_when_to_come_again(contract: Contract, flags: int, limit: str, wait: int) -> None:
+    contracts = Contracts({0: contract})
+    if limit != "service":
+        assert contracts.admit(0, 0, flags, 1 * S) is None
+    breach = contracts.admit(0, 0, flags, 1 * S)
+    assert (breach is None) is (not limit)
+    if breach is not None:
+        assert (breach.limit, breach.wait_ns) == (limit, wait)
+        assert limit == "service" or contracts.admit(0, 0, flags, 1 * S + wait) is None
