--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -161,6 +161,8 @@
         if attempt.standing or invocation.answered:
             self.forget(invocation)
             if attempt.standing:
+                if outcome == Outcome.RESET:
+                    self.gauge.dropped(attempt.provider, self.clock())
                 invocation.consumer.provider_ended(outcome, reset)
         elif invocation.adopt:
             self.forget(invocation)
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -22,6 +22,9 @@
 CORES = 2
 MESSAGE_NS = 7_000_000
 FULLEST = 0.995
+# A provider that drops standing connections has work piled up, which drains only slowly and shows in no
+# reply. So long it counts as slow, though short of late: most of its peers may be fine.
+SHED_NS, SHED_MS = 10 * SECOND, 40.0
 
 
 class Standing(NamedTuple):
@@ -39,6 +42,11 @@
         self.samples: dict[bytes, deque[tuple[int, int]]] = {}
         self.nearest: dict[int, int] = {}  # the shortest time seen for each far zone: the way there and back
         self.slow: set[bytes] = set()
+        self.shed_at: dict[bytes, int] = {}
+
+    def dropped(self, provider: bytes, now: int) -> None:
+        """It reset a connection that stood."""
+        self.shed_at[provider] = now
 
     def answered(self, provider: bytes, zone: int | None, elapsed_ns: int, now: int) -> None:
         """`zone` is given where the way there takes long; a note tells the time at the provider alone."""
@@ -53,11 +61,14 @@
 
         A slow provider is noted as long as it is slow, and once more when it no longer is.
         """
+        self.shed_at = {provider: at for provider, at in self.shed_at.items() if now - at < SHED_NS}
         told = [one.load for held in standing.values() for one in held if one.load is not None]
         usual = fmean(told) if told else 0.0
         notes = []
         for provider, held in standing.items():
             took = max(self.timed(provider, held, now), self.reckoned(provider, held, usual))
+            if provider in self.shed_at:
+                took = max(took, SHED_MS * 1e6)
             if took > self.slow_ns:
                 self.slow.add(provider)
             elif provider in self.slow:
--- a/tests/test_gauge.py
+++ b/tests/test_gauge.py
@@ -56,3 +56,12 @@
     ((provider, ms),) = made.review(asking(80_000.0, 1), 2 * S)
     assert provider == HERE and ms * 3 < 50
     assert not made.review(asking(80_000.0, 1), 3 * S)
+
+
+def test_a_provider_that_drops_connections_counts_as_slow_for_a_while() -> None:
+    # Its piled-up work shows in no reply and in no load; its clients would hash straight back to it.
+    made = gauge()
+    made.dropped(HERE, 1 * S)
+    assert made.review(asking(None, 1), 2 * S) == [(HERE, 40.0)]
+    ((_, over),) = made.review(asking(None, 1), 12 * S)
+    assert over * 3 < 50
