Test slow openers and a broker file that cannot be used

Each of the five mistakes in the broker's file is said in one line with status 2; a consumer that never finishes its first line is answered FAIL and closed.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -288,6 +288,33 @@
     assert says in error and error.count("\n") == 1
 
 
+@pytest.mark.parametrize(
+    "own, says",
+    [
+        ("[channels", "is not TOML"),
+        ("[channels]\nenabled = true\n", "'listen' is missing"),
+        ('[vrrp]\nenabled = true\nvrid = 0\nlisten = "127.0.0.1:1"\npeers = []\n', "vrid"),
+        ('[[contract]]\nteam = "strangers"\n', "unknown team 'strangers'"),
+        ('[[contract]]\nteam = "acme"\nrate_per_s = 0\n', "rate_per_s must be above 0"),
+    ],
+)
+def test_a_bad_broker_file_is_said_in_one_line(one: Proxy, tmp_path: Path, own: str, says: str) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(own)
+    process = launch(str(tmp_path / "config.json"), str(path))
+    _, error = process.communicate(timeout=WAIT)
+    assert process.returncode == 2
+    assert says in error and error.count("\n") == 1
+
+
+def test_a_slow_opener_is_not_waited_for(one: Proxy) -> None:
+    # Each half-open consumer would hold a descriptor for good.
+    consumer = one.client(b"OPEN 9b1f03aa5c7e2d41 7f")
+    assert consumer.line() == b"FAIL\r\n"
+    assert consumer.ended() == "fin"
+    one.logged("side=consumer reason=slow-opener")
+
+
 def test_an_address_in_use_is_said_in_one_line(one: Proxy, tmp_path: Path) -> None:
     process = launch(str(tmp_path / "config.json"))
     _, error = process.communicate(timeout=WAIT)
