Reload both files on SIGHUP and move the directory's watch to its new address

`__main__.catch_signals` handled SIGTERM and SIGINT only, and SIGHUP's default ends a process.

The reload reads everything and binds new addresses before it changes anything, so a bad file changes nothing. The old directory address accepts nothing more, so the watch is left for a whole-list call at the new one at once; an answer that the old one still gives counts if it is newer. Classes, tenants and zones keep their places, since invocations under way and the module refer to them by place.

Read beside it in directory.read_list: a whole list with an unreadable entry made the module take that provider for gone, and an empty or older list was believed at once. These are now changes only, or unused until they have held for 30 s.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -15,7 +15,7 @@
 from linnetshift.net.directory import Directory, Roster
 from linnetshift.net.loop import Loop
 from linnetshift.net.module import Departure, Module, Mover
-from linnetshift.net.platform import PlatformFront
+from linnetshift.net.platform import Acceptor, Front, PlatformFront
 from linnetshift.net.provider import ProviderGate
 from linnetshift.net.vrrp import Vrrp
 
@@ -25,10 +25,9 @@
 
     def __init__(self, config: Config, own: BrokerFile) -> None:
         self.loop = loop = Loop()
+        self.names, self.own = config.names, own
         self.gate = ProviderGate(loop)
-        self.directory = Directory(
-            loop, config.directory, config.names, config.known.event.version, self.listed
-        )
+        self.directory = Directory(loop, config.directory, self.names, config.known, self.listed)
         self.module = Module(loop)
         self.broker = self.module.broker = self.gate.broker = Broker(
             config.settings, config.seed, loop.now, self.module, self.directory, self.gate, own.contracts
@@ -36,16 +35,15 @@
         self.module.start(self.module.live())
         self.directory.start(self.directory.live())
         self.listed(config.known)
-        self.front = PlatformFront(loop, self.broker, config.names, config.listen)
-        self.channels: ChannelsFront | None = None
+        self.front = PlatformFront(loop, self.broker, self.names)
+        self.front.listen(config.listen)
+        self.channels = ChannelsFront(loop, self.broker, self.names)
         self.vrrp: Vrrp | None = None
-        if own.channels is not None:
-            self.channels = ChannelsFront(loop, self.broker, config.names, own.channels)
-            if own.vrrp is None:
-                self.channels.open()
-            else:
-                self.vrrp = Vrrp(loop, own.vrrp, self.elected)
-                self.vrrp.start(self.vrrp.live())
+        if own.vrrp is not None:
+            self.vrrp = Vrrp(loop, own.vrrp, self.elected)
+            self.vrrp.start(self.vrrp.live())
+        elif own.channels is not None:
+            self.channels.listen(own.channels)
         self.departing = False
 
     def listed(self, roster: Roster) -> None:
@@ -54,16 +52,18 @@
 
     def elected(self, active: bool) -> None:
         """The channels front listens only while active; its channels move once it no longer is."""
-        assert self.channels is not None
-        if active:
-            self.channels.open()
-        else:
-            self.channels.leave()
-            mover = Mover(self.loop, self.broker, self.channels)
-            mover.start(mover.live())
+        if active and self.own.channels is not None:
+            self.channels.listen(self.own.channels)
+        elif not active:
+            self.move_channels()
+
+    def move_channels(self) -> None:
+        self.channels.leave()
+        mover = Mover(self.loop, self.broker, self.channels)
+        mover.start(mover.live())
 
     def held(self) -> int:
-        return len(self.front.consumers) + (len(self.channels.sessions) if self.channels is not None else 0)
+        return len(self.front.consumers) + len(self.channels.sessions)
 
     def catch_signals(self) -> None:
         """Python's own handler runs between two instructions; the byte it leaves wakes the poll."""
@@ -71,15 +71,53 @@
         reader.setblocking(False)
         writer.setblocking(False)
         signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
         self.signals = reader, writer
         self.loop.watch(reader.fileno(), select.EPOLLIN, self.signalled)
 
     def signalled(self, _mask: int) -> None:
-        self.signals[0].recv(64)
-        if self.departing:
+        caught = set(self.signals[0].recv(64))
+        if signal.SIGHUP in caught:
+            self.reload()
+        if caught != {signal.SIGHUP} and not self.departing:
+            self.depart()
+
+    def reload(self) -> None:
+        """Take up both files as they are now; what is under way, known or spent stays.
+
+        Whatever is wrong with them, the program runs on with what it had.
+        """
+        bound: list[tuple[Front, Acceptor]] = []
+        try:
+            config, own = read_files()
+            if own.vrrp != self.own.vrrp:
+                raise ConfigError("a change of [vrrp] needs a restart")
+            if (name := self.names.lost(config.names)) is not None:
+                raise ConfigError(f"{name!r} has lost its place in the settings; that needs a restart")
+            wanted = [(self.front, config.listen), (self.channels, own.channels)]
+            for front, address in () if self.departing else wanted:
+                idle = front is self.channels and own.vrrp is not None and front.address is None
+                if address is not None and address != front.address and not idle:
+                    bound.append((front, Acceptor(self.loop, address, front.take)))
+        except (ConfigError, OSError) as error:
+            for _, acceptor in bound:
+                acceptor.close()
+            log.note("reload-refused", error=str(error))
             return
+        for front, acceptor in bound:
+            front.follow(acceptor)
+        if own.channels is None and self.channels.address is not None:
+            self.move_channels()
+        self.own = own
+        self.names.follow(config.names)
+        self.broker.configure(config.settings, own.contracts)
+        if config.known.event.version > self.directory.version:
+            self.listed(config.known)
+        self.directory.relocate(config.directory)
+        log.note("reloaded", directory=f"{config.directory[0]}:{config.directory[1]}")
+
+    def depart(self) -> None:
         self.departing = self.front.leaving = True
         if self.vrrp is not None:
             self.vrrp.stop()
@@ -88,15 +126,19 @@
 
     def stop_listening(self) -> None:
         self.front.close()
-        if self.channels is not None:
-            self.channels.leave()
+        self.channels.leave()
+
+
+def read_files() -> tuple[Config, BrokerFile]:
+    config = read_config(os.environ.get("GW_CONFIG"))
+    return config, read_broker_file(os.environ.get("LINNETSHIFT_BROKER"), config.names)
 
 
 def main() -> int:
     log.set_up()
     try:
-        config = read_config(os.environ.get("GW_CONFIG"))
-        program = Program(config, read_broker_file(os.environ.get("LINNETSHIFT_BROKER"), config.names))
+        config, own = read_files()
+        program = Program(config, own)
     except ConfigError as error:
         print(f"linnetshift: {error}", file=sys.stderr)
         return 2
--- a/linnetshift/contracts.py
+++ b/linnetshift/contracts.py
@@ -74,6 +74,15 @@
             return Breach("team", PROHIBITED_WAIT_NS)
         return contract.breach(service, bool(flags & RETRY), now)
 
+    def follow(self, former: Contracts, held: Mapping[int, int]) -> None:
+        """Take the place of `former`; what is held and spent goes on counting."""
+        for team, contract in self.teams.items():
+            contract.held = held.get(team, 0)
+            old = former.teams.get(team, contract)
+            for budget, before in ((contract.rate, old.rate), (contract.retries, old.retries)):
+                if budget is not None and before is not None:
+                    budget.level, budget.at = before.level, before.at
+
     def release(self, team: int) -> None:
         if team in self.teams:
             self.teams[team].held -= 1
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from itertools import count
 
@@ -34,15 +35,23 @@
         providers: Providers,
         contracts: Contracts,
     ) -> None:
-        self.settings = settings
+        self.settings, self.contracts = settings, contracts
         self.balancer = Balancer(settings, seed)
         self.clock, self.timers, self.directory, self.providers = clock, timers, directory, providers
-        self.contracts = contracts
         self.inbox: list[api.Event] = []
         self.invocations: dict[int, Invocation] = {}
         self.ids = count(1)
         self.zones: dict[bytes, int] = {}
-        self.gauge = MessageGauge(min(c.message_aim_ns for c in settings.classes), settings.balancers)
+        self.gauge = MessageGauge()
+        self.configure(settings, contracts)
+
+    def configure(self, settings: api.Settings, contracts: Contracts) -> None:
+        """Also while running: what is known and under way stays."""
+        self.settings = settings
+        self.balancer.configure(settings)
+        self.gauge.configure(min(c.message_aim_ns for c in settings.classes), settings.balancers)
+        contracts.follow(self.contracts, Counter(i.tenant for i in self.invocations.values()))
+        self.contracts = contracts
 
     def post(self, event: api.Event) -> None:
         if not self.inbox:
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -36,14 +36,17 @@
 
 
 class MessageGauge:
-    def __init__(self, shortest_aim_ns: int, proxies: int) -> None:
-        self.slow_ns, self.proxies = shortest_aim_ns // 3, proxies
+    def __init__(self) -> None:
+        self.slow_ns, self.proxies = 0, 1
         self.weights: dict[bytes, float] = {}
         self.samples: dict[bytes, deque[tuple[int, int]]] = {}
         self.nearest: dict[int, int] = {}  # the shortest time seen for each far zone: the way there and back
         self.slow: set[bytes] = set()
         self.shed_at: dict[bytes, int] = {}
 
+    def configure(self, shortest_aim_ns: int, proxies: int) -> None:
+        self.slow_ns, self.proxies = shortest_aim_ns // 3, proxies
+
     def dropped(self, provider: bytes, now: int) -> None:
         """It reset a connection that stood."""
         self.shed_at[provider] = now
--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -20,7 +20,7 @@
 from linnetshift.net import log, ssh
 from linnetshift.net.log import Reason
 from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
-from linnetshift.net.platform import ANSWER_NS, OPENER_NS, STALL_NS, Acceptor, Names
+from linnetshift.net.platform import ANSWER_NS, OPENER_NS, STALL_NS, Front, Names
 from linnetshift.net.provider import Endpoint, Steps, linger
 from linnetshift.net.ssh import Disconnect, Fields, Malformed, Message, OpenFailure, message, string
 from linnetshift.net.stream import End, LineTooLong, Stream
@@ -474,19 +474,12 @@
         self.disconnect(Disconnect.BY_APPLICATION, "this proxy is leaving")
 
 
-class ChannelsFront:
+class ChannelsFront(Front):
     """Accepts sessions where the broker's own file says, while it is told to."""
 
-    def __init__(self, loop: Loop, broker: Broker, names: Names, address: Endpoint) -> None:
-        self.loop, self.broker, self.names, self.address = loop, broker, names, address
+    def __init__(self, loop: Loop, broker: Broker, names: Names) -> None:
+        super().__init__(loop, broker, names)
         self.sessions: set[Session] = set()
-        self.leaving = False
-        self.acceptor: Acceptor | None = None
-
-    def open(self) -> None:
-        self.leaving = False
-        if self.acceptor is None:
-            self.acceptor = Acceptor(self.loop, self.address, self.take)
 
     def take(self, sock: socket.socket, peer: Endpoint) -> None:
         session = Session(self, sock, peer)
@@ -499,10 +492,5 @@
         for session in self.sessions:
             session.post(Timeout("leave"))
 
-    def close(self) -> None:
-        if self.acceptor is not None:
-            self.acceptor.close()
-            self.acceptor = None
-
     def channels(self) -> list[Channel]:
         return [channel for session in self.sessions for channel in session.channels.values()]
--- a/linnetshift/net/config.py
+++ b/linnetshift/net/config.py
@@ -57,7 +57,7 @@
         )
     except KeyError as error:
         raise ConfigError(f"{path}: key {error} is missing") from None
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
@@ -89,7 +89,7 @@
         )
     except KeyError as error:
         raise ConfigError(f"{place}: key {error} is missing") from None
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{place}: {error}") from None
 
 
--- a/linnetshift/net/directory.py
+++ b/linnetshift/net/directory.py
@@ -22,7 +22,10 @@
 WATCH_MS = 10_000
 PATIENCE_NS = 2 * S
 CALL_NS = 6 * S
-MOST_BODY = 8 << 20
+DOUBT_NS = 30 * S  # how long an answer that contradicts what is known must hold to be believed
+AGAIN_NS = 2 * S  # after an answer with unreadable entries
+MOST_BODY = 1 << 20  # thousands of providers; read, it takes some ten times as much memory
+MOST_TOLD = 200  # characters of somebody else's text in a log line
 PATH = "/catalog/members"
 STATES = {"SERVING": HostState.READY, "DRAINING": HostState.DRAINING, "DELETED": HostState.GONE}
 
@@ -32,25 +35,34 @@
 
     event: api.HostList
     endpoints: dict[bytes, Endpoint]
+    unread: int  # entries that made no sense
 
 
 def read_list(document: Any, names: Names, cached: bool = False) -> Roster:
-    """Raises ValueError where the document is no list; an entry that makes no sense is left out."""
+    """Raises ValueError where the document is no list; an entry that makes no sense is left out.
+
+    What a whole list with such an entry does not name may be what could not be read, so it counts as
+    changes only.
+    """
     if not isinstance(document, dict) or not isinstance(document.get("targets"), list):
         raise ValueError("no list of targets")
-    version = document.get("rev")
-    entries, endpoints = [], {}
+    version = document.get("rev", 0 if cached else None)
+    if not isinstance(version, int) or version < 0:
+        raise ValueError("no version")
+    entries, endpoints, errors = [], {}, []
     for target in document["targets"]:
         try:
             entry, endpoint = read_entry(target, names)
         except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
-            log.note("bad-target", error=f"{type(error).__name__}: {error}")
+            errors.append(f"{type(error).__name__}: {error}")
             continue
         entries.append(entry)
         endpoints[entry.host] = endpoint
-    form = ListForm.CACHED if cached else ListForm.FULL if document.get("all") else ListForm.DELTA
-    event = api.HostList(form, version if isinstance(version, int) else 0, tuple(entries))
-    return Roster(event, endpoints)
+    if errors:
+        log.note("bad-targets", count=len(errors), first=errors[0][:MOST_TOLD])
+    whole = document.get("all") and not errors
+    form = ListForm.CACHED if cached else ListForm.FULL if whole else ListForm.DELTA
+    return Roster(api.HostList(form, version, tuple(entries)), endpoints, len(errors))
 
 
 def read_entry(target: dict[str, Any], names: Names) -> tuple[api.HostEntry, Endpoint]:
@@ -146,15 +158,26 @@
     pass
 
 
+class Relocate(NamedTuple):
+    endpoint: Endpoint
+
+
 class Directory(Actor):
     """Keeps the watch that the module asked for and reports lists, changes and failures."""
 
     def __init__(
-        self, loop: Loop, endpoint: Endpoint, names: Names, version: int, told: Callable[[Roster], None]
+        self, loop: Loop, endpoint: Endpoint, names: Names, known: Roster, told: Callable[[Roster], None]
     ) -> None:
         super().__init__(loop)
-        self.endpoint, self.names, self.version, self.told = endpoint, names, version, told
+        self.endpoint, self.names, self.told = endpoint, names, told
+        self.version, self.some = known.event.version, bool(known.event.entries)
+        self.doubted_at = 0
+        self.asking_again = False
         self.watching: Call | None = None
+        self.former: Call | None = None  # the watch at an address that was left
+
+    def relocate(self, endpoint: Endpoint) -> None:
+        self.post(Relocate(endpoint))
 
     def watch(self, on: bool) -> None:
         self.post(Watch(on))
@@ -171,6 +194,14 @@
                     self.watching = None  # its answer is ignored
                 case Fetch():
                     self.call(PATH, CALL_NS)
+                case Relocate(endpoint) if endpoint != self.endpoint:
+                    # The old address falls silent: nothing may wait for the watch there to end. Its last
+                    # answer still counts, if it brings one.
+                    self.endpoint, self.former = endpoint, self.watching or self.former
+                    self.watching = self.call(PATH, CALL_NS)
+                case Timeout(tag="again"):
+                    self.asking_again = False
+                    self.call(PATH, CALL_NS)
                 case Answer(call, document):
                     self.answered(call, document)
 
@@ -185,17 +216,42 @@
         self.watching = self.call(path, WATCH_MS * MS + PATIENCE_NS)
 
     def answered(self, call: Call, document: Any) -> None:
-        kept = call is self.watching
-        if not kept and "since" in call.path:
+        kept, former = call is self.watching, call is self.former
+        if former:
+            self.former = None
+        if (former and document is None) or not (kept or former or call.path == PATH):
             return
         try:
             roster = read_list(document, self.names)
-        except ValueError:
+            self.doubt(roster.event)
+        except ValueError as error:
+            if document is not None:
+                log.note("directory-answer-unused", error=str(error))
             if kept:
                 self.watching = None
-            self.told(Roster(api.HostList(ListForm.FAILED, 0, ()), {}))
+            if not former:
+                self.told(Roster(api.HostList(ListForm.FAILED, 0, ()), {}, 0))
             return
         self.version = roster.event.version
+        if roster.event.form == ListForm.FULL:
+            self.some = bool(roster.event.entries)
         self.told(roster)
+        if roster.unread and not self.asking_again:
+            self.asking_again = True
+            self.alarm(AGAIN_NS, "again")
         if kept:
             self.watch_on()
+
+    def doubt(self, event: api.HostList) -> None:
+        """An older list, or one that is suddenly empty, may be a slip: it is used only if it stays so.
+
+        At once it would end every connection, or send new ones to providers that are known to leave.
+        """
+        older = event.version < self.version
+        if not older and (event.entries or event.form != ListForm.FULL or not self.some):
+            self.doubted_at = 0
+            return
+        self.doubted_at = self.doubted_at or self.loop.now()
+        if self.loop.now() - self.doubted_at < DOUBT_NS:
+            raise ValueError(f"version {event.version} after {self.version}" if older else "an empty list")
+        self.doubted_at = 0
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -42,6 +42,21 @@
         self.zones = self._places(settings.get("zones"))
         self.kinds = self._places(settings.get("models"))
 
+    def lists(self) -> tuple[dict[str, int], ...]:
+        return self.classes, self.tenants, self.zones, self.kinds
+
+    def lost(self, later: Names) -> str | None:
+        """A name that has another place or none in later settings, which what is under way refers to."""
+        for known, listed in zip(self.lists(), later.lists(), strict=True):
+            for name, place in known.items():
+                if listed.get(name) != place:
+                    return name
+        return None
+
+    def follow(self, later: Names) -> None:
+        for known, listed in zip(self.lists(), later.lists(), strict=True):
+            known.update(listed)
+
     @staticmethod
     def _places(listed: object) -> dict[str, int]:
         items = listed if isinstance(listed, list) else []
@@ -353,7 +368,7 @@
     def __init__(
         self, loop: Loop, address: Endpoint, take: Callable[[socket.socket, Endpoint], None]
     ) -> None:
-        self.loop, self.take = loop, take
+        self.loop, self.address, self.take = loop, address, take
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
@@ -387,14 +402,42 @@
             self.listener.close()
 
 
-class PlatformFront:
-    """Accepts consumers on the address that the platform gave."""
+class Front:
+    """What takes connections in, at an address that may change while the program runs."""
 
-    def __init__(self, loop: Loop, broker: Broker, names: Names, address: Endpoint) -> None:
+    def __init__(self, loop: Loop, broker: Broker, names: Names) -> None:
         self.loop, self.broker, self.names = loop, broker, names
-        self.consumers: set[PlatformConsumer] = set()
         self.leaving = False
-        self.acceptor = Acceptor(loop, address, self.take)
+        self.acceptor: Acceptor | None = None
+
+    @property
+    def address(self) -> Endpoint | None:
+        return self.acceptor.address if self.acceptor is not None else None
+
+    def take(self, sock: socket.socket, peer: Endpoint) -> None:
+        raise NotImplementedError
+
+    def listen(self, address: Endpoint) -> None:
+        if address != self.address:
+            self.follow(Acceptor(self.loop, address, self.take))
+
+    def follow(self, acceptor: Acceptor) -> None:
+        """Listen there from now on; what was accepted before goes on."""
+        self.close()
+        self.leaving, self.acceptor = False, acceptor
+
+    def close(self) -> None:
+        if self.acceptor is not None:
+            self.acceptor.close()
+            self.acceptor = None
+
+
+class PlatformFront(Front):
+    """Accepts consumers on the address that the platform gave."""
+
+    def __init__(self, loop: Loop, broker: Broker, names: Names) -> None:
+        super().__init__(loop, broker, names)
+        self.consumers: set[PlatformConsumer] = set()
 
     def take(self, sock: socket.socket, peer: Endpoint) -> None:
         consumer = PlatformConsumer(self, sock, peer)
@@ -404,6 +447,3 @@
         if not asked.startswith(b"PING"):
             return b"NO\r\n"
         return b"ERR\r\n" if self.leaving else b"PONG\r\n"
-
-    def close(self) -> None:
-        self.acceptor.close()
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -139,28 +139,23 @@
     """The decisions of one node. Instances share nothing."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
         self.random = random.Random(seed)
         self.now = 0
         self.hosts: dict[bytes, Host] = {}
         self.pending: dict[int, Pending] = {}
         self.out: list[api.Action] = []
-        self.ranked: tuple[list[Host], npt.NDArray[np.uint64], npt.NDArray[np.float64], float] | None = None
+        self.ranked: tuple[list[Host], npt.NDArray[np.uint64], npt.NDArray[np.float64], float] | None
         self.ranked_until = 0
         self.probe_credit = 0.0
         self.load_each = 0.0  # load of one connection, by the hosts' reports
         self.arrivals = 0.0  # requests in about the last second
         self.arrivals_at = 0
-        columns = settings.report_columns
-        self.load_column = columns.index("x0") if settings.may_probe and "x0" in columns else -1
-        self.held_column = columns.index("outstanding") if "outstanding" in columns else -1
         self.standing = 0  # connections through this node when the ranking was last made
         self.rate = 0.0  # new connections that came to stand through this node, a second
         self.rate_at = 0
         self.held: deque[int] = deque()  # requests that wait for a chance
         self.hung: dict[bytes, Host] = {}  # hosts that this node's connections leave
         self.ticking = False
-        self.tick_ns = min(c.aim_ns for c in settings.classes) // 8
         self.admit = 1.0  # share of the keys that are admitted
         self.admit_at = 0
         self.jammed = False  # messages are late at most of the hosts in use
@@ -171,6 +166,15 @@
         self.asked = False
         self.ask_failures = 0
         self.ask_token = 0
+        self.configure(settings)
+
+    def configure(self, settings: api.Settings) -> None:
+        """Also while running, when classes may be added but keep their places; what is known stays."""
+        self.settings, self.ranked = settings, None
+        columns = settings.report_columns
+        self.load_column = columns.index("x0") if settings.may_probe and "x0" in columns else -1
+        self.held_column = columns.index("outstanding") if "outstanding" in columns else -1
+        self.tick_ns = min(c.aim_ns for c in settings.classes) // 8
 
     def step(self, now_ns: int, events: Sequence[api.Event]) -> list[api.Action]:
         self.now = max(self.now, now_ns)  # a clock that steps back must not revive past deadlines
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -159,6 +159,7 @@
 
     def __init__(self, listeners: list[Listener]) -> None:
         self.listeners, self.rev, self.failing = listeners, 1, False
+        self.instead: list[object] = []
         self.news = threading.Condition()
         self.calls: queue.Queue[str] = queue.Queue()
         outer = self
@@ -172,7 +173,8 @@
                         wait = int(asked["timeout_ms"][0]) / 1000
                         since = int(asked["since"][0])
                         outer.news.wait_for(lambda: outer.rev > since or outer.failing, wait)
-                    body = json.dumps(outer.listing()).encode()
+                    told = outer.instead.pop() if outer.instead else outer.listing()
+                    body = json.dumps(told).encode()
                 self.send_response(503 if outer.failing else 200)
                 self.send_header("Content-Length", str(len(body)))
                 with suppress(ConnectionError):  # the proxy is gone at a test's end
@@ -197,6 +199,17 @@
             self.rev += 1
             self.news.notify_all()
 
+    def says(self, answer: object) -> None:
+        """This once, in place of the list."""
+        with self.news:
+            self.instead.append(answer)
+            self.rev += 1
+            self.news.notify_all()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server.server_address[1]}"
+
     def fail(self, failing: bool) -> None:
         with self.news:
             self.failing = failing
@@ -210,6 +223,7 @@
         self.process, self.port, self.extra_port = process, port, extra_port
         self.listeners: list[Listener] = []
         self.directory: Directory
+        self.config: Path
         self.lines: queue.Queue[str] = queue.Queue()
         self.seen: list[str] = []
         threading.Thread(target=self.read, daemon=True).start()
@@ -252,6 +266,12 @@
     def alive(self) -> bool:
         return self.client(b"PING\r\n").line() == b"PONG\r\n"
 
+    def reload(self, says: str, **changes: Any) -> None:
+        """Replace keys of the configuration, and wait for what the program says of it."""
+        self.config.write_text(json.dumps({**json.loads(self.config.read_text()), **changes}))
+        self.process.send_signal(signal.SIGHUP)
+        self.logged(says)
+
     def leave(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
@@ -302,7 +322,7 @@
             {
                 "name": "n0",
                 "listen": f"127.0.0.1:{port}",
-                "discovery": f"127.0.0.1:{directory.server.server_address[1]}",
+                "discovery": directory.address,
                 "seed": "8c1f30d27a5be964",
                 "known": directory.listing(),
                 "settings": settings(**changes),
@@ -311,7 +331,7 @@
     )
     own_file.write_text(own.replace("PORT", str(extra)))
     running = Proxy(launch(str(config), str(own_file), before), port, extra)
-    running.listeners, running.directory = listeners, directory
+    running.listeners, running.directory, running.config = listeners, directory, config
     try:
         running.logged("event=started")
         yield running
--- a/tests/test_gauge.py
+++ b/tests/test_gauge.py
@@ -11,7 +11,8 @@
 
 
 def gauge(weight: float = 2.0, proxies: int = 1) -> MessageGauge:
-    made = MessageGauge(50 * MS, proxies)
+    made = MessageGauge()
+    made.configure(50 * MS, proxies)
     made.weights[HERE] = weight
     return made
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -254,6 +254,26 @@
             pass  # the calls that failed; the watch goes on from what the next one brought
 
 
+@pytest.mark.parametrize(
+    "answer, says",
+    [
+        ({"rev": 2, "all": True, "targets": []}, "answer-unused .*an empty list"),
+        ({"rev": 0, "all": True, "targets": [{}]}, "answer-unused .*version 0 after 1"),
+        ({"rev": 2, "all": True, "targets": [{"uid": 7, "state": "?"}, None]}, "bad-targets count=2"),
+        ({"rev": "x", "all": True, "targets": []}, "answer-unused .*no version"),
+        ([], "answer-unused .*no list"),
+    ],
+)
+def test_one_bad_answer_of_the_directory_empties_no_list(one: Proxy, answer: object, says: str) -> None:
+    # Taken at its word, it would have every connection moved and every new one refused.
+    consumer, provider = one.standing()
+    one.directory.says(answer)
+    one.logged(says)
+    provider.send(b"still\r\n")
+    assert consumer.line() == b"still\r\n"
+    one.standing()
+
+
 def test_without_descriptors_it_waits_and_lives(tmp_path: Path) -> None:
     # Accepting again at once would spin; dying would lose every connection that stands.
     def few() -> None:
