Bound what strangers take on both fronts, and read before timers fire

All 450 bad requests that reached providers bore the id of an open invocation; each was answered ERR up to six times, as policy.on_ended placed it again. What was read after an answer took 0.5 s at most, so a close on unread data reset the answer away.

Input comes first now. Reading 60 MB through a buffer took 1.48 CPU seconds in one second; the kernel discards it instead (0.31).

Ruled out: memory (27 of 80 MB).

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -13,6 +13,7 @@
 from linnetshift.net.channels import ChannelsFront
 from linnetshift.net.config import BrokerFile, Config, ConfigError, read_broker_file, read_config
 from linnetshift.net.directory import Directory, Roster
+from linnetshift.net.limits import Strangers
 from linnetshift.net.loop import Loop
 from linnetshift.net.module import Departure, Module, Mover
 from linnetshift.net.platform import Acceptor, Front, PlatformFront
@@ -35,9 +36,10 @@
         self.module.start(self.module.live())
         self.directory.start(self.directory.live())
         self.listed(config.known)
-        self.front = PlatformFront(loop, self.broker, self.names)
+        self.strangers = Strangers(loop, config.sockets)
+        self.front = PlatformFront(loop, self.broker, self.names, self.strangers)
         self.front.listen(config.listen)
-        self.channels = ChannelsFront(loop, self.broker, self.names)
+        self.channels = ChannelsFront(loop, self.broker, self.names, self.strangers)
         self.vrrp: Vrrp | None = None
         if own.vrrp is not None:
             self.vrrp = Vrrp(loop, own.vrrp, self.elected)
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -22,6 +22,9 @@
 SILENT_NS = 4_000_000_000
 # The module's own answer comes by the deadline; this long after it the broker answers in its place.
 OVERDUE_NS = 8_000_000
+# Connections that were open before the run come back through us within 40 s of its start.
+ADOPT_NS = 60_000_000_000
+ADOPT_AGAIN_NS = 200_000_000
 
 
 class Broker:
@@ -38,6 +41,7 @@
         self.settings, self.contracts = settings, contracts
         self.balancer = Balancer(settings, seed)
         self.clock, self.timers, self.directory, self.providers = clock, timers, directory, providers
+        self.started = clock()
         self.inbox: list[api.Event] = []
         self.invocations: dict[int, Invocation] = {}
         self.ids = count(1)
@@ -115,11 +119,17 @@
             invocation.consumer.reject(breach.wait_ns, breach.limit)
             return
         self.invocations[invocation.id] = invocation
+        if invocation.adopt and invocation.began - self.started > ADOPT_NS:
+            # Whoever still names a provider would choose it past the module, a draining one too.
+            self.answer(invocation.id)
+            invocation.consumer.fail()
+            return
         if invocation.adopt:
-            self.open(invocation, invocation.adopt, invocation.deadline)
+            self.adopt(invocation)
             return
         left = max(1, invocation.deadline - invocation.began)
-        self.timers.later(left + OVERDUE_NS, lambda: self.overdue(invocation))
+        number = invocation.id  # the invocation itself would be held until then, answered or not
+        self.timers.later(left + OVERDUE_NS, lambda: self.overdue(number))
         self.post(
             api.Request(
                 invocation.id,
@@ -133,11 +143,10 @@
             )
         )
 
-    def overdue(self, invocation: Invocation) -> None:
+    def overdue(self, request: int) -> None:
         """Whatever keeps the module from it, an answer is owed before the consumer gives up."""
-        if not invocation.answered:
-            self.post(api.Withdrawn(invocation.id))
-            self.answer(invocation.id)
+        if (invocation := self.answer(request)) is not None:
+            self.post(api.Withdrawn(request))
             invocation.consumer.fail()
 
     def up(self, attempt: Attempt, receipt: memoryview) -> None:
@@ -174,12 +183,22 @@
                     self.gauge.dropped(attempt.provider, self.clock())
                 invocation.consumer.provider_ended(outcome, reset)
         elif invocation.adopt:
-            self.forget(invocation)
-            invocation.answered = True
-            invocation.consumer.fail()
+            self.adopt_again(invocation, outcome)
             return
         self.tell_ended(attempt, outcome)
 
+    def adopt_again(self, invocation: Invocation, outcome: Outcome) -> None:
+        """Only one provider will do: while it cannot be reached, it is asked again."""
+        if outcome not in api.NEVER_RAN or self.clock() + ADOPT_AGAIN_NS >= invocation.deadline:
+            self.answer(invocation.id)
+            invocation.consumer.fail()
+            return
+        self.timers.later(ADOPT_AGAIN_NS, lambda: self.adopt(invocation))
+
+    def adopt(self, invocation: Invocation) -> None:
+        if not invocation.answered:
+            self.open(invocation, invocation.adopt, invocation.deadline)
+
     def tell_ended(self, attempt: Attempt, outcome: int) -> None:
         elapsed = self.clock() - attempt.began
         invocation = attempt.invocation
--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -18,10 +18,11 @@
 from linnetshift.core.invocation import Invocation, Link
 from linnetshift.interface import Outcome
 from linnetshift.net import log, ssh
+from linnetshift.net.limits import DRAIN_NS, MOST_TOLD, MOST_WAIT_MS, OPENER_NS, Strangers
 from linnetshift.net.log import Reason
 from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
-from linnetshift.net.platform import ANSWER_NS, OPENER_NS, STALL_NS, Front, Names
-from linnetshift.net.provider import Endpoint, Steps, linger
+from linnetshift.net.platform import ANSWER_NS, STALL_NS, Front, Names
+from linnetshift.net.provider import Endpoint, Steps, Stop, linger
 from linnetshift.net.ssh import Disconnect, Fields, Malformed, Message, OpenFailure, message, string
 from linnetshift.net.stream import End, LineTooLong, Stream
 
@@ -190,6 +191,12 @@
         self.beats = 0  # keepalives since anything was heard
         self.congested_at = 0
         self.reason: Reason | None = None
+        self.began = self.loop.now()
+
+    def shed(self) -> None:
+        self.stream.close()
+        self.reason = self.reason or Reason.SHED
+        self.post(Stop())
 
     def ready(self, mask: int) -> None:
         self.post(Io(mask))
@@ -199,17 +206,19 @@
     def live(self) -> Script:
         self.front.sessions.add(self)
         self.stream.arm()
+        self.front.strangers.add(self)
         try:
             yield from self.identify()
             yield from self.serve()
         except Malformed as error:
             self.reason = Reason.PROTOCOL_ERROR
-            log.note("malformed", peer=self.peer[0], error=str(error))
+            log.note("malformed", peer=self.peer[0], error=str(error)[:MOST_TOLD])
             self.disconnect(error.code, str(error))
         self.end_channels(self.reason is Reason.CONSUMER_RESET)
-        if not self.stream.broken and self.reason is not Reason.STALLED:
+        if not self.stream.broken and not self.stream.closed and self.reason is not Reason.STALLED:
             self.stream.finish()
-            yield from linger(self, self.stream)
+            self.front.strangers.add(self)
+            yield from linger(self, self.stream, self.began + DRAIN_NS)
         self.stream.close()
         self.report()
 
@@ -230,6 +239,7 @@
 
     def report(self) -> None:
         self.front.sessions.discard(self)
+        self.front.strangers.remove(self)
         log.ended(
             "session",
             self.reason or Reason.CONSUMER_LEFT,
@@ -419,8 +429,9 @@
         key, group, wait_ms = fields.uint64(), fields.uint64(), fields.uint32()
         flags = fields.uint32() if fields.rest else 0
         place = self.front.names.classes.get(klass)
-        if place is None or any(c in tenant for c in ", =\r\n"):
-            self.refuse(remote, OpenFailure.CONNECT_FAILED, "unknown class or impossible tenant")
+        odd = len(tenant) > MOST_TOLD or any(c <= " " or c in ",=\x7f" for c in tenant)
+        if place is None or odd or wait_ms > MOST_WAIT_MS:
+            self.refuse(remote, OpenFailure.CONNECT_FAILED, "unknown class, impossible tenant or deadline")
             return
         if self.front.leaving or len(self.channels) >= MOST_CHANNELS:
             self.refuse(remote, OpenFailure.RESOURCE_SHORTAGE, "come again after 0 ms")
@@ -444,6 +455,7 @@
             lambda left_ms: f"{head}{left_ms}{marks}\r\n".encode(),
         )
         self.channels[channel.number] = channel
+        self.front.strangers.remove(self)
         self.opened += 1
         self.broker.invoke(channel.invocation)
 
@@ -459,6 +471,8 @@
         if self.channels.pop(channel.number, None) is None:
             return
         channel.pending.clear()
+        if not self.channels and not self.stream.closed:
+            self.front.strangers.add(self)  # until it asks for another
         log.ended(
             "channel",
             channel.reason,
@@ -477,8 +491,8 @@
 class ChannelsFront(Front):
     """Accepts sessions where the broker's own file says, while it is told to."""
 
-    def __init__(self, loop: Loop, broker: Broker, names: Names) -> None:
-        super().__init__(loop, broker, names)
+    def __init__(self, loop: Loop, broker: Broker, names: Names, strangers: Strangers) -> None:
+        super().__init__(loop, broker, names, strangers)
         self.sessions: set[Session] = set()
 
     def take(self, sock: socket.socket, peer: Endpoint) -> None:
--- a/linnetshift/net/config.py
+++ b/linnetshift/net/config.py
@@ -30,6 +30,7 @@
     known: Roster
     settings: api.Settings
     names: Names
+    sockets: int  # the platform's limit; 0 where it gives none
 
 
 def read_config(path: str | None) -> Config:
@@ -54,6 +55,7 @@
             known=read_list(raw.get("known", {"targets": []}), names, cached=True),
             settings=api.Settings.parse(raw["settings"]),
             names=names,
+            sockets=int((raw.get("limits") or {}).get("sockets") or 0),
         )
     except KeyError as error:
         raise ConfigError(f"{path}: key {error} is missing") from None
--- a/linnetshift/net/directory.py
+++ b/linnetshift/net/directory.py
@@ -13,6 +13,7 @@
 from linnetshift import interface as api
 from linnetshift.interface import HostState, ListForm
 from linnetshift.net import log
+from linnetshift.net.limits import MOST_TOLD
 from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
 from linnetshift.net.platform import Names
 from linnetshift.net.provider import Dialing, Endpoint, Steps, parse_endpoint
@@ -25,7 +26,6 @@
 DOUBT_NS = 30 * S  # how long an answer that contradicts what is known must hold to be believed
 AGAIN_NS = 2 * S  # after an answer with unreadable entries
 MOST_BODY = 1 << 20  # thousands of providers; read, it takes some ten times as much memory
-MOST_TOLD = 200  # characters of somebody else's text in a log line
 PATH = "/catalog/members"
 STATES = {"SERVING": HostState.READY, "DRAINING": HostState.DRAINING, "DELETED": HostState.GONE}
 
@@ -103,7 +103,7 @@
         if self.stream is not None:
             self.stream.close()
         if document is None:
-            log.note("directory-call-failed", path=self.path, error=error)
+            log.note("directory-call-failed", path=self.path, error=error[:MOST_TOLD])
         self.directory.post(Answer(self, document))
 
     def gave_up(self) -> None:
@@ -226,7 +226,7 @@
             self.doubt(roster.event)
         except ValueError as error:
             if document is not None:
-                log.note("directory-answer-unused", error=str(error))
+                log.note("directory-answer-unused", error=str(error)[:MOST_TOLD])
             if kept:
                 self.watching = None
             if not former:
--- /dev/null
+++ b/linnetshift/net/limits.py
@@ -0,0 +1,58 @@
+"""What strangers may cost: those who have asked for nothing yet, and those who stay after their answer.
+
+Both fronts keep to it, so that no number of silent, endless or hasty connections takes what usual consumers
+and their providers need.
+"""
+
+from __future__ import annotations
+
+import resource
+from typing import Protocol
+
+from linnetshift.net.loop import MS, Loop
+
+# A first line comes with its connection; who owes it for longer is answered and closed, within 3 s in all.
+OPENER_NS = 2500 * MS
+# What is still sent after an answer is read and let go, since a close with bytes unread resets the answer
+# away; 60 MB may be on their way, and the close is promised within 6 s.
+DRAIN_NS = 5500 * MS
+MAX_LINE = 4096
+MOST_WAIT_MS = 600_000  # no consumer waits so long for its answer
+MOST_TOLD = 200  # characters of somebody else's text in a log line
+# Descriptors that no stranger gets: for providers, the directory, listeners and the log.
+LEAST_SPARE, SPARE_PART = 24, 6
+
+
+class Stranger(Protocol):
+    def shed(self) -> None:
+        """Close its socket now."""
+
+
+class Strangers:
+    """Those of both fronts, the one that has been waiting longest first."""
+
+    def __init__(self, loop: Loop, sockets: int) -> None:
+        self.loop = loop
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        known = [limit for limit in (sockets, soft) if limit > 0]  # no limit is told as 0 or -1
+        self.most = min(known) - max(LEAST_SPARE, min(known) // SPARE_PART) if known else 1 << 30
+        self.waiting: dict[Stranger, None] = {}
+        loop.make_room = self.make_room
+
+    def add(self, stranger: Stranger) -> None:
+        """A usual consumer's line is there at once, so that under pressure it is never the one to go."""
+        self.waiting[stranger] = None
+        while self.loop.streams > self.most and len(self.waiting) > 1 and self.make_room():
+            pass
+
+    def remove(self, stranger: Stranger) -> None:
+        self.waiting.pop(stranger, None)
+
+    def make_room(self) -> bool:
+        """End the one that has been waiting longest; whether there was one."""
+        stranger = next(iter(self.waiting), None)
+        if stranger is None:
+            return False
+        self.remove(stranger)
+        stranger.shed()
+        return True
--- a/linnetshift/net/log.py
+++ b/linnetshift/net/log.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import logging
+import select
 import sys
 import time
 from enum import Enum
-from typing import Any
+from typing import Any, TextIO
 
 
 class Reason(Enum):
@@ -26,6 +27,7 @@
     WITHDRAWN = "withdrawn"  # the consumer left before the answer
     BAD_LINE = "bad-line"
     SLOW_OPENER = "slow-opener"
+    SHED = "shed"  # the longest silent stranger, for want of descriptors
     PROBED = "probed"  # a front asked whether this proxy is ready
     EMPTY = "empty"  # ended without a line
     UNREACHABLE = "unreachable"
@@ -79,8 +81,27 @@
     logger.error("fault", exc_info=error)
 
 
+class Patient(logging.StreamHandler[TextIO]):
+    """Leaves lines out while whoever reads them does not, and says later how many: writing would block."""
+
+    left_out = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        try:
+            writable = select.select([], [self.stream], [], 0)[1]
+        except (OSError, ValueError):  # standard error is closed
+            return
+        if not writable:
+            self.left_out += 1
+            return
+        if self.left_out:
+            left_out, self.left_out = self.left_out, 0
+            note("lines-left-out", count=left_out)
+        super().emit(record)
+
+
 def set_up() -> None:
-    handler = logging.StreamHandler(sys.stderr)
+    handler = Patient(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
--- a/linnetshift/net/loop.py
+++ b/linnetshift/net/loop.py
@@ -104,6 +104,8 @@
         self.timers: list[tuple[int, int, Timer]] = []
         self.sequence = count()
         self.stopped = False
+        self.streams = 0  # that are open
+        self.make_room: Callable[[], bool] = lambda: False  # called for want of a descriptor
         # What a poll returns may have been ready since the poll before it, when the loop did not sleep.
         self.since = self.now()
 
@@ -136,7 +138,6 @@
     def turn(self) -> None:
         for _ in range(len(self.ready)):
             self.ready.popleft().run()
-        self._fire_due()
         wait = -1.0
         if self.ready or self.stopped:
             wait = 0.0
@@ -150,6 +151,8 @@
             handler = self.handlers.get(fd)
             if handler is not None:  # a handler before it may have closed this one
                 handler(mask)
+        # Only now: after a stall of this process, what arrived in time must not count as late.
+        self._fire_due()
 
     def _fire_due(self) -> None:
         now = self.now()
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -13,12 +13,12 @@
 from linnetshift.core.invocation import Invocation
 from linnetshift.interface import Outcome
 from linnetshift.net import log
+from linnetshift.net.limits import DRAIN_NS, MOST_TOLD, MOST_WAIT_MS, OPENER_NS, Strangers
 from linnetshift.net.log import Reason
 from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
-from linnetshift.net.provider import Endpoint, Resume, Steps, linger
+from linnetshift.net.provider import Endpoint, Resume, Steps, Stop, linger
 from linnetshift.net.stream import End, LineTooLong, Stream
 
-OPENER_NS = 5 * S  # how long a consumer may take over its first line
 STALL_NS = 7 * S  # how long a consumer may leave everything unread
 ANSWER_NS = 4 * MS  # answers leave this much before the consumer gives up
 BACKLOG = 1024
@@ -66,6 +66,7 @@
 class Opening(NamedTuple):
     """A first line, read."""
 
+    id: int
     klass: int
     tenant: int
     key: int
@@ -81,9 +82,12 @@
     words = line[:-2].split(b" ")
     if not line.endswith(b"\r\n") or len(words) not in (3, 4) or words[0] != b"OPEN":
         raise BadLine("not an OPEN line")
-    _hex(words[1])
+    if any(byte < 0x20 or byte == 0x7F for byte in line[:-2]):
+        raise BadLine("control characters")
     pairs = [pair.partition(b"=") for pair in words[3].split(b",")] if len(words) == 4 else []
     values = {name: value for name, _, value in pairs}
+    if len(values) < len(pairs):
+        raise BadLine("a name twice")  # providers may heed the other one
     klass = names.classes.get(values.get(b"c", b"").decode("utf-8", "replace"))
     if klass is None:
         raise BadLine("unknown class")
@@ -91,9 +95,12 @@
     flags = (api.RETRY if values.get(b"r") == b"1" else 0) | (
         api.RETURNED if values.get(b"again") == b"1" else 0
     )
-    wait = values.get(b"d", b"0")
-    if not wait.isdigit() or len(wait) > 9:
+    wait, adopt = values.get(b"d"), values.get(b"at", b"")
+    if wait is not None and not (wait.isdigit() and len(wait) < 10 and int(wait)):
         raise BadLine("bad deadline")
+    # One that was open before the run comes with as long as 32 bits of microseconds hold.
+    if wait is not None and int(wait) > MOST_WAIT_MS and not adopt:
+        raise BadLine("endless deadline")
 
     def forward(left_ms: int) -> bytes:
         told = b",".join(
@@ -102,14 +109,15 @@
         return b" ".join([*words[:3], told] if pairs else words) + b"\r\n"
 
     return Opening(
+        id=_hex(words[1]),
         klass=klass,
         tenant=names.tenants.get(tenant, len(names.tenants)),
         key=_hex(words[2]),
         group=_hex(values.get(b"g", b"0")),
         flags=flags,
         hint=_hint(values.get(b"h", b"")),
-        wait_ns=int(wait) * MS,
-        adopt=values.get(b"at", b""),
+        wait_ns=min(int(wait or 0), MOST_WAIT_MS) * MS,
+        adopt=adopt,
         forward=forward,
     )
 
@@ -121,12 +129,14 @@
 
 
 def _hint(text: bytes) -> int:
-    """A guess at the load; a site that gives none, or one out of range, counts as no guess."""
+    """A guess at the load; without one, 0."""
     try:
         value = float(text or b"0")
     except ValueError:
-        return 0
-    return int(value) if 0.0 <= value < 2.0**63 else 0
+        value = -1.0
+    if not 0.0 <= value < 2.0**63:
+        raise BadLine("bad hint")
+    return int(value)
 
 
 class Rejected(NamedTuple):
@@ -157,8 +167,15 @@
         self.began = self.loop.now()
         self.invocation: Invocation | None = None
         self.provider = b""
+        self.id: int | None = None  # held in the front's set while this is open
+        self.error = ""
         self.congested_at = 0
 
+    def shed(self) -> None:
+        self.stream.send(b"" if self.stream.ending else FAILED)
+        self.stream.close()
+        self.post(Stop())
+
     def ready(self, mask: int) -> None:
         self.post(Io(mask))
 
@@ -200,7 +217,9 @@
     def live(self) -> Script:
         self.front.consumers.add(self)
         self.stream.arm()
+        self.front.strangers.add(self)
         reason = yield from self.open()
+        self.front.strangers.remove(self)
         if reason is None:
             reason = yield from self.wait()
         if reason is None:
@@ -208,9 +227,10 @@
         how = End.FIN
         if reason in (Reason.PROVIDER_RESET, Reason.CONSUMER_RESET):
             how = End.RESET
-        elif reason is not Reason.STALLED and not self.stream.broken:
+        elif reason is not Reason.STALLED and not self.stream.broken and not self.stream.closed:
             self.stream.finish()
-            yield from linger(self, self.stream)
+            self.front.strangers.add(self)
+            yield from linger(self, self.stream, self.began + DRAIN_NS)
         self.stream.close(how)
         self.report(reason)
 
@@ -224,9 +244,13 @@
 
     def report(self, reason: Reason) -> None:
         self.front.consumers.discard(self)
+        self.front.strangers.remove(self)
+        if self.id is not None:
+            self.front.ids.discard(self.id)
         log.ended(
             "consumer",
             reason,
+            **({"error": self.error[:MOST_TOLD]} if self.error else {}),
             id=self.invocation.id if self.invocation is not None else 0,
             peer=f"{self.peer[0]}:{self.peer[1]}",
             provider=self.provider.decode("utf-8", "replace"),
@@ -241,19 +265,17 @@
         end = self.stream.fill()  # the line mostly comes with the connection
         while True:
             try:
-                line = self.stream.line()
-                if line is not None and bytes(line[:6]).rstrip() in (b"PING", b"STATS"):
+                while not self.stream.congested and (line := self.stream.line()) is not None:
+                    if bytes(line[:6]).rstrip() not in (b"PING", b"STATS"):
+                        self.hand_in(parse_opening(bytes(line), self.front.names), arrived)
+                        timer.cancel()
+                        return None
                     self.stream.send(self.front.readiness(bytes(line[:6])))
                     asked = True
-                    continue
-                if line is not None:
-                    self.hand_in(parse_opening(bytes(line), self.front.names), arrived)
-                    timer.cancel()
-                    return None
             except (BadLine, LineTooLong) as error:
-                log.note("bad-line", error=str(error) or "too long")
-                self.stream.send(FAILED)
-                return Reason.BAD_LINE
+                return self.bad_line(str(error))
+            # Without this, what is owed to someone who asks on and reads nothing would fill memory.
+            self.stream.want(not self.stream.congested)
             if end is not None:
                 return Reason.PROBED if asked else Reason.EMPTY
             match (yield):
@@ -262,12 +284,21 @@
                         self.stream.flush()
                     arrived = self.loop.since
                     end = self.stream.fill()
+                case Stop():
+                    return Reason.SHED
                 case Timeout(tag="opener"):
                     self.stream.send(FAILED)
                     return Reason.SLOW_OPENER
 
     def hand_in(self, opening: Opening, arrived: int) -> None:
         """`d` counts from the sending, which was before the loop saw it: the budget leaves room for that."""
+        if self.stream.stop > self.stream.start:
+            raise BadLine(TALKS)
+        if opening.id in self.front.ids:
+            # Providers take it for a second copy of the other's invocation, and say ERR one after the other.
+            raise BadLine("the id of an open invocation")
+        self.id = opening.id
+        self.front.ids.add(opening.id)
         wait = opening.wait_ns or self.broker.settings.classes[opening.klass].deadline_ns
         self.invocation = Invocation(
             self,
@@ -283,6 +314,11 @@
         )
         self.broker.invoke(self.invocation)
 
+    def bad_line(self, error: str) -> Reason:
+        self.error = error or "too long"
+        self.stream.send(FAILED)
+        return Reason.BAD_LINE
+
     def wait(self) -> Steps:
         """Until the one answer; None when it is that the connection stands."""
         invocation = self.invocation
@@ -304,8 +340,11 @@
                         self.broker.consumer_ended(invocation, end is End.RESET)
                         self.stream.send(b"BUSY\r\n")  # it may have ended only its sending
                         return Reason.WITHDRAWN
-                    # A consumer that talks on while it waits is read again once it is served.
-                    self.stream.want(self.stream.stop < len(self.stream.view) and end is None)
+                    if self.stream.stop > self.stream.start and not invocation.answered:
+                        # Unread, it would hide that the consumer ended; a provider could not use it.
+                        self.broker.consumer_ended(invocation, False)
+                        return self.bad_line(TALKS)
+                    self.stream.want(end is None)
 
     def stand(self) -> Steps:
         """Messages both ways until one side ends."""
@@ -324,11 +363,13 @@
                                 invocation.out.link.resume()
                     if mask & ~select.EPOLLOUT:
                         end = stream.fill()
-                        self.pass_on(invocation)
+                        if not self.pass_on(invocation):
+                            return Reason.BAD_LINE
                     if stream.broken and end is None:
                         end = End.RESET
                 case Resume():
-                    self.pass_on(invocation)
+                    if not self.pass_on(invocation):
+                        return Reason.BAD_LINE
                 case ProviderEnded(outcome, reset):
                     if reset:
                         return Reason.PROVIDER_RESET
@@ -349,17 +390,27 @@
         self.broker.consumer_ended(invocation, end is End.RESET)
         return Reason.CONSUMER_RESET if end is End.RESET else Reason.CONSUMER_LEFT
 
-    def pass_on(self, invocation: Invocation) -> None:
-        """Hand whole lines to the provider while it takes them; stop reading when it does not."""
+    def pass_on(self, invocation: Invocation) -> bool:
+        """Hand whole lines to the provider while it takes them; stop reading when it does not.
+
+        False once a line is too long to be one: both sides end.
+        """
         link = invocation.out.link if invocation.out is not None else None
         if link is None:
-            return
-        while not link.congested and (line := self.stream.line()) is not None:
-            link.deliver(line)
+            return True
+        try:
+            while not link.congested and (line := self.stream.line()) is not None:
+                link.deliver(line)
+        except LineTooLong:
+            self.error = "too long"
+            self.broker.consumer_ended(invocation, False)
+            return False
         self.stream.want(not link.congested)
+        return True
 
 
-FAILED = b"FAIL\r\n"
+FAILED = b"ERR\r\n"
+TALKS = "talks on before its answer"
 
 
 class Acceptor:
@@ -387,6 +438,8 @@
             except BlockingIOError:
                 return
             except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE) and self.loop.make_room():
+                    continue
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     # The backlog stays readable: without a pause this would spin until some end.
                     self.loop.unwatch(self.listener.fileno())
@@ -405,8 +458,8 @@
 class Front:
     """What takes connections in, at an address that may change while the program runs."""
 
-    def __init__(self, loop: Loop, broker: Broker, names: Names) -> None:
-        self.loop, self.broker, self.names = loop, broker, names
+    def __init__(self, loop: Loop, broker: Broker, names: Names, strangers: Strangers) -> None:
+        self.loop, self.broker, self.names, self.strangers = loop, broker, names, strangers
         self.leaving = False
         self.acceptor: Acceptor | None = None
 
@@ -435,9 +488,10 @@
 class PlatformFront(Front):
     """Accepts consumers on the address that the platform gave."""
 
-    def __init__(self, loop: Loop, broker: Broker, names: Names) -> None:
-        super().__init__(loop, broker, names)
+    def __init__(self, loop: Loop, broker: Broker, names: Names, strangers: Strangers) -> None:
+        super().__init__(loop, broker, names, strangers)
         self.consumers: set[PlatformConsumer] = set()
+        self.ids: set[int] = set()  # as consumers gave them
 
     def take(self, sock: socket.socket, peer: Endpoint) -> None:
         consumer = PlatformConsumer(self, sock, peer)
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -59,11 +59,14 @@
 
     def connect(self, endpoint: Endpoint, limit_ns: int) -> Steps:
         """Whether the connection came up in time."""
-        try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        except OSError as error:  # out of descriptors: the attempt never reached anyone
-            log.note("no-socket", provider=endpoint, error=error.strerror)
-            return False
+        sock = None
+        while sock is None:
+            try:
+                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            except OSError as error:  # out of descriptors: the attempt never reached anyone
+                if not self.loop.make_room():
+                    log.note("no-socket", provider=endpoint, error=error.strerror)
+                    return False
         self.stream = stream = Stream(self.loop, sock, self.ready)
         try:
             code = sock.connect_ex(endpoint)
@@ -290,9 +293,12 @@
 }
 
 
-def linger(actor: Actor, stream: Stream) -> Steps:
-    """Read on until the peer ends too: closing with bytes unread would reset what is still on its way."""
-    timer = actor.alarm(LINGER_NS, "linger")
+def linger(actor: Actor, stream: Stream, until: int = 0) -> Steps:
+    """Read on until the peer ends too: closing with bytes unread would reset what is still on its way.
+
+    A peer that is quiet is waited for LINGER_NS; one that sends on, until the time given.
+    """
+    timer, heard = actor.alarm(LINGER_NS, "linger"), False
     stream.want(True)
     while not stream.broken:
         match (yield):
@@ -300,11 +306,15 @@
                 if mask & select.EPOLLOUT:
                     stream.flush()
                 if mask & ~select.EPOLLOUT:
-                    end = stream.fill()
-                    stream.rest()
-                    if end is not None:
+                    got = stream.drain()
+                    heard = heard or got > 0
+                    if got < 0:
                         break
-            case Timeout(tag="linger") | Stop():
+            case Timeout(tag="linger"):
+                if not heard or actor.loop.now() >= until:
+                    break
+                timer, heard = actor.alarm(min(LINGER_NS, until - actor.loop.now()), "linger"), False
+            case Stop():
                 break
     timer.cancel()
 
--- a/linnetshift/net/stream.py
+++ b/linnetshift/net/stream.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable, Iterator
 from enum import Enum
 
+from linnetshift.net.limits import MAX_LINE
 from linnetshift.net.loop import Loop
 
-MAX_LINE = 4096
 # A peer that is gone without a word: unanswered keep-alives, or data left unacknowledged, end the connection.
 HALF_OPEN = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -20,6 +20,7 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 20_000),
 )
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+NOWHERE = bytearray(1 << 20)  # never written: the kernel throws away what is read with MSG_TRUNC
 
 
 class End(Enum):
@@ -59,6 +60,7 @@
         self.ending = False  # nothing more will be sent
         self.closed = False
         self.interest = 0
+        loop.streams += 1
 
     @property
     def congested(self) -> bool:
@@ -103,6 +105,16 @@
         self.stop += got
         return None
 
+    def drain(self) -> int:
+        """Read once and let it go; how much there was, -1 once the peer has ended."""
+        self.start = self.stop = 0
+        try:
+            return self.sock.recv_into(NOWHERE, 0, socket.MSG_TRUNC) or -1
+        except BlockingIOError:
+            return 0
+        except OSError:
+            return -1
+
     def take(self, size: int) -> memoryview | None:
         """The next `size` bytes, once they are there."""
         if self.stop - self.start < size:
@@ -173,6 +185,7 @@
         if self.closed:
             return
         self.closed = True
+        self.loop.streams -= 1
         self.loop.unwatch(self.fd)
         if how is End.RESET:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -29,6 +29,7 @@
 WARM_STEPS = 8
 # The share of rule 4's budget that placements may use; the rest is for chance and for heavy connections.
 COLD_SAFETY = 0.5
+ERRORS_TOLD = 2  # hosts that call a request an error: the fault is its own, the others would say the same
 # Over how long a node measures the rate at which connections come to stand.
 RATE_NS = 10_000_000_000
 # Notes of slow messages come once a second while they hold; two in a row may get lost to chance.
@@ -130,6 +131,7 @@
     host: Host | None = None  # where the latest attempt went, while it is out
     standing: bool = False
     probes: int = 0  # sent on its behalf
+    errors: int = 0  # hosts that answered it with an error
     tried: list[Host] = field(default_factory=list)
     unsure: Host | None = None  # host of the first attempt that may have run
     window: int = 0  # and when its repeats cease to be discarded
@@ -721,6 +723,11 @@
         if event.closed or item.standing:
             self.pending.pop(event.request)
             return
+        item.errors += event.outcome == Outcome.ERROR
+        if item.errors >= ERRORS_TOLD:
+            self.finish(item)
+            self.out.append(api.Fail(event.request))
+            return
         if event.outcome not in api.NEVER_RAN and item.unsure is None:
             item.unsure = host
             sent = self.now - event.elapsed_ns
--- /dev/null
+++ b/tests/test_strangers.py
@@ -0,0 +1,179 @@
+"""What strangers send, or do not send, costs usual consumers nothing."""
+
+from __future__ import annotations
+
+import os
+import resource
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from proxy import OPEN, WAIT, Proxy, launch, proxy
+from test_platform import answer
+
+CHANNELS = '[channels]\nenabled = true\nlisten = "127.0.0.1:PORT"\n'
+
+
+@pytest.fixture
+def one(tmp_path: Path) -> Iterator[Proxy]:
+    with proxy(tmp_path) as running:
+        yield running
+
+
+def few() -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40))
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HELLO\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=100\n",
+        b"OPEN xyz 2 c=feed,t=acme,d=100\r\n",
+        b"OPEN 1 12345678901234567 c=feed,t=acme,d=100\r\n",
+        b"OPEN 2 c=feed,t=acme,d=100\r\n",
+        b"OPEN 1 2 c=feed,d=100,g=-1\r\n",
+        b"OPEN 1 2 c=unheard-of,t=acme,d=100\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=soon\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=-5\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=0\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=999999999\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=100,h=-1\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=100,h=nan\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=100,c=feed\r\n",
+        b"OPEN 1 2 c=feed,t=ac\0me,d=100\r\n",
+        b"OPEN 1 2\r\n",
+        b"OPEN 1 2 c=feed,t=acme,d=100\r\n" * 100,
+        b"OPEN 1 2 c=feed,t=acme,d=100\r\nhalf",
+        b"\xff\xfe\r\n",
+        b"x" * 5000,
+    ],
+)
+def test_a_bad_first_line_fails_alone(one: Proxy, line: bytes) -> None:
+    # What one consumer sends must neither be passed on (it voids the run) nor hurt the others.
+    consumer = one.client(line)
+    assert consumer.line() == b"ERR\r\n"
+    consumer.close()
+    one.logged("side=consumer reason=bad-line")
+    assert one.alive()
+
+
+def test_the_id_of_an_open_invocation_is_taken(one: Proxy) -> None:
+    # Sent on, providers called it a second copy one after the other, six attempts for each.
+    line = OPEN % (7, 2000)
+    consumer = one.client(line)
+    provider = one.listeners[0].serve()
+    assert consumer.line() == b"UP r1\r\n"
+    assert one.client(line).line() == b"ERR\r\n"
+    consumer.close()
+    assert provider.ended() in ("fin", "reset")
+    one.logged("side=consumer reason=consumer-left")
+    again = one.client(line)
+    one.listeners[0].serve()
+    assert again.line() == b"UP r1\r\n"
+
+
+def test_what_two_providers_call_an_error_is_one(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=3) as running:
+        consumer = running.open()
+        for _ in range(2):
+            answer(running.asked(), b"ERR\r\n", "fin")
+        assert consumer.line() == b"ERR\r\n"
+        running.logged("side=consumer reason=failed .*attempts=2")
+
+
+def test_a_consumer_that_talks_before_its_answer_is_turned_away(one: Proxy) -> None:
+    # Its lines filled the buffer, and that it ended was not seen any more.
+    consumer = one.open()
+    provider = one.listeners[0].accept()
+    provider.line()
+    consumer.send(b"M 1\r\n" * 4000)
+    assert consumer.line() == b"ERR\r\n"
+    assert provider.ended() in ("fin", "reset")
+
+
+def test_an_endless_line_ends_a_standing_connection(one: Proxy) -> None:
+    consumer, provider = one.standing()
+    consumer.send(b"x" * 5000)
+    assert provider.ended() == "fin"
+    assert consumer.ended() == "fin"
+    assert "reason=bad-line" in one.logged("side=consumer")
+
+
+def test_what_is_still_sent_is_let_go_until_the_answer_arrives(one: Proxy) -> None:
+    # A close with bytes unread resets the answer away; keeping them would fill memory.
+    consumer = one.client()
+    consumer.sock.settimeout(None)
+    sent = threading.Event()
+
+    def send() -> None:
+        for _ in range(60):
+            consumer.send(b"x" * (1 << 20))
+        sent.set()
+
+    threading.Thread(target=send, daemon=True).start()
+    assert sent.wait(WAIT)
+    assert consumer.line() == b"ERR\r\n"
+    assert consumer.ended() == "fin"
+
+
+def test_a_slow_opener_is_not_waited_for(one: Proxy) -> None:
+    # Each half-open consumer would hold a descriptor for good.
+    consumer = one.client(b"OPEN 9b1f03aa5c7e2d41 7f")
+    assert consumer.line() == b"ERR\r\n"
+    assert consumer.ended() == "fin"
+    one.logged("side=consumer reason=slow-opener")
+
+
+@pytest.mark.parametrize("front", ["platform", "channels"])
+def test_a_silent_crowd_makes_room_for_others(tmp_path: Path, front: str) -> None:
+    # Hundreds that say nothing used to take every descriptor, those to providers included.
+    with proxy(tmp_path, own=CHANNELS, before=few) as running:
+        standing, provider = running.standing()
+        port = running.extra_port if front == "channels" else running.port
+        crowd = [running.client(port=port) for _ in range(60)]
+        running.logged("reason=shed")
+        running.standing()
+        crowd[0].line()  # the longest silent one is told, or greeted
+        assert crowd[0].ended() == "fin"
+        provider.send(b"on\r\n")
+        assert standing.line() == b"on\r\n"
+
+
+def test_without_descriptors_it_waits_and_lives(tmp_path: Path) -> None:
+    # Accepting again at once would spin; dying would lose every connection that stands.
+    with proxy(tmp_path, before=few) as running:
+        crowd = [running.open(60000) for _ in range(60)]
+        running.logged("event=accept-paused")
+        for conn in crowd:
+            conn.close()
+        while running.listeners[0].accept().line():
+            pass  # the attempts that were out
+        running.standing()
+
+
+def test_a_log_that_nobody_reads_stops_nothing(one: Proxy, tmp_path: Path) -> None:
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    while True:
+        try:
+            os.write(writer, b"x" * 4096)
+        except BlockingIOError:
+            break
+    os.set_blocking(writer, True)
+    one.process.kill()
+    one.process.wait(WAIT)
+    process = launch(str(tmp_path / "config.json"), stderr=writer)
+    try:
+        while True:
+            try:
+                assert one.alive()
+                break
+            except ConnectionRefusedError:
+                assert process.poll() is None
+    finally:
+        process.kill()
+        process.wait(WAIT)
+        os.close(reader)
+        os.close(writer)
