Pass over providers that err alone, and move consumers later on a planned stop

Moving until 4.6 s after SIGTERM showed that the kill comes at 3.7 s (13 requests lost): "3 s where it is longer" caps the deadline, and module.Departure took it for a floor. Consumers are now moved between 1.3 and 3.1 s. Also, VRRP's word went out before the front listened.

Ruled out: the switch of directories.

--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from linnetshift.core.broker import Broker
+from linnetshift.interface import Settings
 from linnetshift.net import log
 from linnetshift.net.channels import ChannelsFront
 from linnetshift.net.loop import MS, Actor, Loop, S, Script, Timeout
@@ -41,10 +42,13 @@
 
 
 # On a planned stop new connections keep arriving for up to 0.4 s; the kill comes no earlier than the
-# longest deadline (3 s at least) and 0.7 s after the signal.
+# longest deadline (3 s where it is longer) and 0.7 s after the signal.
 ACCEPT_NS = 600 * MS
-LEAST_DEADLINE_NS, KILL_NS = 3 * S, 700 * MS
+MOST_DEADLINE_NS, KILL_NS = 3 * S, 700 * MS
 SPARE_NS = 350 * MS  # kept free before the kill, for the last answers and moves to be written
+# Proxies are restarted one after the other: the one before may not be back yet, and consumers moved at
+# once would find nobody. They are moved between these parts of the time, in hundredths.
+MOVE_FROM, MOVE_UNTIL = 40, 92
 STEP_NS = 50 * MS
 LOST_PART_NS = 2 * S  # over how long channels move once another proxy is the active one
 
@@ -66,6 +70,10 @@
             yield
 
 
+def kill_after(settings: Settings) -> int:
+    return min(MOST_DEADLINE_NS, max(c.deadline_ns for c in settings.classes)) + KILL_NS
+
+
 class Departure(Actor):
     """Answers everything, moves every consumer away at an even pace, and stops the loop."""
 
@@ -77,9 +85,8 @@
 
     def live(self) -> Script:
         began = self.loop.now()
-        longest = max(LEAST_DEADLINE_NS, *(c.deadline_ns for c in self.broker.settings.classes))
-        end = began + longest + KILL_NS - SPARE_NS
-        paced_until = began + (end - began) * 2 // 3
+        end = began + kill_after(self.broker.settings) - SPARE_NS
+        paced_from, paced_until = (began + (end - began) * part // 100 for part in (MOVE_FROM, MOVE_UNTIL))
         log.note("leaving", standing=len(self.broker.standing()))
         accepting = True
         while self.loop.now() < end:
@@ -90,7 +97,7 @@
                 if accepting:
                     accepting = False
                     self.close()
-                standing = self.broker.standing()
+                standing = self.broker.standing() if now >= paced_from else []
                 steps = max(1, (paced_until - now) // STEP_NS)
                 for invocation in standing[: -(-len(standing) // steps)]:
                     self.broker.move(invocation.id, "moved")
--- a/linnetshift/net/vrrp.py
+++ b/linnetshift/net/vrrp.py
@@ -153,6 +153,7 @@
         super().__init__(loop)
         self.config, self.changed = config, changed
         self.router = Router(config, self.send, self.arm)
+        self.before = self.router.state
         self.timer: Timer | None = None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
@@ -160,20 +161,23 @@
         loop.watch(self.sock.fileno(), select.EPOLLIN, lambda mask: self.post(Io(mask)))
 
     def live(self) -> Script:
-        before = self.router.state
         self.router.start()
         while True:
-            if self.router.state is not before:
-                log.note("vrrp", state=self.router.state, vrid=self.config.vrid)
-                if State.ACTIVE in (before, self.router.state):
-                    self.changed(self.router.state is State.ACTIVE)
-                before = self.router.state
+            self.settle()
             match (yield):
                 case Io():
                     self.receive()
                 case Timeout(tag=tag) if tag is self.timer:
                     self.router.timer_fired()
 
+    def settle(self) -> None:
+        """Say that the state is another, and do so before the peers hear of it."""
+        before, self.before = self.before, self.router.state
+        if self.before is not before:
+            log.note("vrrp", state=self.before, vrid=self.config.vrid)
+            if State.ACTIVE in (before, self.before):
+                self.changed(self.before is State.ACTIVE)
+
     def stop(self) -> None:
         """Shut down: an active router releases its part before it goes."""
         self.router.stop()
@@ -182,6 +186,8 @@
         self.script = None
 
     def send(self, priority: int) -> None:
+        if priority != RELEASED:
+            self.settle()  # whoever hears that this one is active may connect at once
         config = self.config
         datagram = Advertisement(config.vrid, priority, config.interval, config.addresses).encode()
         for peer in config.peers:
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -29,7 +29,7 @@
 WARM_STEPS = 8
 # The share of rule 4's budget that placements may use; the rest is for chance and for heavy connections.
 COLD_SAFETY = 0.5
-ERRORS_TOLD = 2  # hosts that call a request an error: the fault is its own, the others would say the same
+ERRORS_TOLD = 2  # so many hosts' errors are a request's own fault, so many requests' errors a host's
 # Over how long a node measures the rate at which connections come to stand.
 RATE_NS = 10_000_000_000
 # Notes of slow messages come once a second while they hold; two in a row may get lost to chance.
@@ -112,6 +112,7 @@
     struck_at: int = 0  # when that spell began
     voices: dict[int, int] = field(default_factory=dict)  # who found it silent, and when
     good_at: int = 0  # when a connection last came to stand there
+    faults: int = 0  # errors in a row to requests that another host served
     trial: int = -1  # the request that tries a host on probation
 
     def update(self, entry: api.HostEntry) -> None:
@@ -131,7 +132,7 @@
     host: Host | None = None  # where the latest attempt went, while it is out
     standing: bool = False
     probes: int = 0  # sent on its behalf
-    errors: int = 0  # hosts that answered it with an error
+    erred: list[Host] = field(default_factory=list)  # hosts that answered it with an error
     tried: list[Host] = field(default_factory=list)
     unsure: Host | None = None  # host of the first attempt that may have run
     window: int = 0  # and when its repeats cease to be discarded
@@ -223,9 +224,8 @@
         for entry in event.entries:
             known = self.hosts.get(entry.host)
             if known is None:
-                known = self.hosts[entry.host] = Host(entry.host)
+                known = self.hosts[entry.host] = Host(entry.host, told=self.now)
                 known.update(entry)
-                known.told = self.now
                 self.seed_tokens(known)
                 continue
             was = known.state
@@ -242,7 +242,7 @@
         self.ranked = None
 
     def leave(self, host: Host, state: HostState) -> None:
-        """Note that a host drains or is gone; the grace counts from the first such word."""
+        """The grace counts from the first word that a host drains or is gone."""
         if host.state == HostState.READY:
             host.told = self.now
         host.state = state
@@ -343,7 +343,7 @@
             return True
         if self.now - host.load_at < PROBE_KEPT_NS and self.load_now(host) >= HOT_LOAD:
             return True
-        return bool(host.probe_at) and self.now - host.probe_at > 2 * self.tick_ns  # too slow to say
+        return 0 < host.probe_at < self.now - 2 * self.tick_ns  # too slow to say
 
     def load_now(self, host: Host) -> float:
         """The reported load and what was sent since; in a wave of arrivals the other nodes send as much.
@@ -420,8 +420,8 @@
             return
         if event.data[:1] == SILENT:
             self.hear(host, event.sender)
-        elif event.data[:1] == HOT and self.now >= host.hot_until:
-            host.hot_until = self.now + NOTE_NS
+        elif event.data[:1] == HOT:
+            host.hot_until = max(host.hot_until, self.now + NOTE_NS)
 
     def hear(self, host: Host, voice: int) -> None:
         """On a hung host connections get no answer and no reset until the list knows, seconds later."""
@@ -534,10 +534,8 @@
     def on_request(self, event: api.Request) -> None:
         if event.request in self.pending:
             return
-        klass = self.settings.classes[event.klass]
-        item = self.pending[event.request] = Pending(
-            event, self.now + (event.budget_ns or klass.deadline_ns), event.load_hint
-        )
+        wait = event.budget_ns or self.settings.classes[event.klass].deadline_ns
+        item = self.pending[event.request] = Pending(event, self.now + wait, event.load_hint)
         if not event.flags & (api.RETRY | api.RETURNED):
             self.probe_credit = min(self.probe_credit, PROBES_EACH * 4) + PROBES_EACH
         past = (self.now - self.arrivals_at) / 1e9
@@ -657,11 +655,8 @@
 
     def give_up(self, item: Pending) -> None:
         klass = self.settings.classes[item.request.klass]
-        harmless = (
-            item.unsure is None
-            or klass.effect == Effect.REPEATABLE
-            or (klass.effect == Effect.KEYED and klass.scope == Scope.ALL)
-        )
+        keyed = klass.effect == Effect.KEYED and klass.scope == Scope.ALL
+        harmless = item.unsure is None or klass.effect == Effect.REPEATABLE or keyed
         self.finish(item)
         if harmless and item.deadline > self.now:
             self.out.append(api.Refuse(item.request.request, self.settings.max_retry_after_ns))
@@ -700,6 +695,11 @@
         self.empty_out(host)
         if host.trial == event.request:
             host.trial = -1
+        host.faults = 0
+        for other in item.erred:  # the request was sound, so the fault is theirs
+            other.faults += 1
+            if other.faults >= ERRORS_TOLD:
+                self.strike(other, overload=False)
         self.setting_up -= 1
         self.count_setup(self.settings.classes[item.request.klass].aim_ns, event.elapsed_ns, False)
         self.count_established(item.request.flags)
@@ -723,8 +723,9 @@
         if event.closed or item.standing:
             self.pending.pop(event.request)
             return
-        item.errors += event.outcome == Outcome.ERROR
-        if item.errors >= ERRORS_TOLD:
+        if event.outcome == Outcome.ERROR:
+            item.erred.append(host)
+        if len(item.erred) >= ERRORS_TOLD:
             self.finish(item)
             self.out.append(api.Fail(event.request))
             return
@@ -735,6 +736,5 @@
         self.place(item)
 
     def on_withdrawn(self, request: int) -> None:
-        item = self.pending.get(request)
-        if item is not None:
-            self.finish(item)
+        if request in self.pending:
+            self.finish(self.pending[request])
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import pytest
-from conftest import MS, S, balancer, entry, host, listed, only, request
+from conftest import MS, S, balancer, effect, entry, host, listed, only, raw_settings, request
 
 from linnetshift import interface as api
+from linnetshift.net.module import kill_after
 from linnetshift.policy import TICK_TOKEN, Balancer
 
 STANDING = 40
@@ -60,3 +61,9 @@
     node.step(1 * S, [listed(draining, form=api.ListForm.DELTA)])
     node.step(1 * S, [api.Established(1, 0, sent.host, 5 * MS)])
     assert sum(moves(node, 200)) == 1
+
+
+@pytest.mark.parametrize("limit, killed", [(2 * S, 2700 * MS), (10 * S, 3700 * MS)])
+def test_the_kill_is_expected_after_three_seconds_and_a_little(limit: int, killed: int) -> None:
+    # Waiting for a longer deadline, the program was killed with connections still to move.
+    assert kill_after(api.Settings.parse(raw_settings(**effect("repeatable", hardLimitNs=limit)))) == killed
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -346,3 +346,23 @@
             assert moves and len(moves) <= before * 0.15 + 1
             return
     raise AssertionError("the host never came down to its admitted connections")
+
+
+def test_a_host_whose_errors_others_do_not_share_is_passed_over() -> None:
+    # One that called everything an error went on getting the first attempt of all its keys.
+    node = balancer(8)
+    for number in (1, 2):
+        (first,) = only(node.step(2 * S, [request(number, key=5)]), api.Send)
+        (second,) = only(node.step(2 * S, [ended(first, 0, Outcome.ERROR)]), api.Send)
+        node.step(2 * S + MS, [api.Established(number, 1, second.host, MS)])
+    (again,) = only(node.step(2 * S + 2 * MS, [request(3, key=5)]), api.Send)
+    assert second.host == again.host != first.host
+
+
+def test_what_two_hosts_call_an_error_is_the_request_s_own_fault() -> None:
+    node = balancer(8)
+    (first,) = only(node.step(2 * S, [request(1)]), api.Send)
+    (second,) = only(node.step(2 * S, [ended(first, 0, Outcome.ERROR)]), api.Send)
+    assert node.step(2 * S, [ended(second, 1, Outcome.ERROR)]) == [api.Fail(1)]
+    (again,) = only(node.step(2 * S + MS, [request(2, key=1001)]), api.Send)
+    assert again.host == first.host
