Leave a vanished provider after 1 s, and take its silence for no jam

Each connection waited 4 s by itself (broker.review_messages), so none was moved before the machines came back at 13.7 s and reset them. Meanwhile the gauge's waiting times (210 to 1176 ms) made two of three used hosts late, so policy.review_admission shed 35% of the keys, whole groups, and took 7 s to admit them again (36 rejections with no attempt). After their restart both stayed marked for up to 10 s. And at n1 one connection of 500000 us/s counted as if the other proxy had its like (gauge.reckoned).

Now silence on all of a provider's connections tells, looked for four times a second; a message without a reply makes a host slow but not late; one late host alone is no jam; a restart ends marks in gauge and module; the other proxies' connections are reckoned as usual ones.

--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -13,13 +13,16 @@
 from linnetshift import interface as api
 from linnetshift.contracts import Contracts
 from linnetshift.core.gauge import MessageGauge, Standing
-from linnetshift.core.invocation import Attempt, Consumer, Invocation
+from linnetshift.core.invocation import Attempt, Consumer, Invocation, Link
 from linnetshift.core.ports import Directory, Providers, Timers
 from linnetshift.interface import ListForm, Outcome
 from linnetshift.policy import Balancer
 
-# A connection that brings nothing back must be ended or moved within 7 s; this is looked at once a second.
-SILENT_NS = 4_000_000_000
+# A connection that brings nothing back must be ended or moved within 7 s.
+STALLED_NS = 4_000_000_000
+# A sound provider answers a line at once: one that owes an answer for so long, and from which nothing has
+# come on any connection since, has vanished, and all of its consumers are moved.
+SILENT_NS = 1_000_000_000
 # The module's own answer comes by the deadline; this long after it the broker answers in its place.
 OVERDUE_NS = 8_000_000
 # Connections that were open before the run come back through us within 40 s of its start.
@@ -46,6 +49,7 @@
         self.invocations: dict[int, Invocation] = {}
         self.ids = count(1)
         self.zones: dict[bytes, int] = {}
+        self.starts: dict[bytes, int] = {}
         self.gauge = MessageGauge()
         self.configure(settings, contracts)
 
@@ -101,7 +105,12 @@
     def listed(self, event: api.HostList) -> None:
         if event.form in (ListForm.FULL, ListForm.CACHED):
             self.zones, self.gauge.weights = {}, {}
+            named = {entry.host for entry in event.entries}
+            self.starts = {host: at for host, at in self.starts.items() if host in named}
         for entry in event.entries:
+            if self.starts.get(entry.host, entry.started_ns) != entry.started_ns:
+                self.gauge.restarted(entry.host)
+            self.starts[entry.host] = entry.started_ns
             self.zones[entry.host] = entry.zone
             if entry.weight > 0.0:
                 self.gauge.weights[entry.host] = entry.weight
@@ -237,22 +246,35 @@
         attempt.load = load
         self.note(attempt, api.LOAD_NOTE, load)
 
+    def linked(self) -> dict[bytes, list[tuple[Attempt, Link]]]:
+        """What stands, by provider."""
+        held: dict[bytes, list[tuple[Attempt, Link]]] = {}
+        for invocation in self.standing():
+            attempt = invocation.out
+            if attempt is not None and attempt.link is not None:
+                held.setdefault(attempt.provider, []).append((attempt, attempt.link))
+        return held
+
+    def review_silence(self) -> None:
+        """Some times a second: a machine that vanished neither answers nor resets."""
+        for held in self.linked().values():
+            quiet = min(link.quiet_ns() for _, link in held)
+            longest = max(link.waiting_ns() for _, link in held)
+            vanished = longest > SILENT_NS and quiet >= longest
+            for attempt, link in held:
+                if attempt.verdict == Outcome.CANCELLED and (vanished or link.waiting_ns() > STALLED_NS):
+                    attempt.verdict = Outcome.RESET
+                    attempt.invocation.consumer.move("silent")
+
     def review_messages(self) -> None:
         """Once a second: note the providers whose messages are slow, each on one connection."""
         standing: dict[bytes, list[Standing]] = {}
         first: dict[bytes, Attempt] = {}
-        for invocation in self.standing():
-            attempt = invocation.out
-            if attempt is None or attempt.link is None:
-                continue
-            waiting = attempt.link.waiting_ns()
-            if waiting > SILENT_NS and attempt.verdict == Outcome.CANCELLED:
-                # A machine that vanished neither answers nor resets; the consumer is told to move.
-                attempt.verdict = Outcome.RESET
-                invocation.consumer.move("silent")
-            first.setdefault(attempt.provider, attempt)
-            held = standing.setdefault(attempt.provider, [])
-            held.append(Standing(attempt.load, invocation.group, waiting))
+        for provider, held in self.linked().items():
+            first[provider] = held[0][0]
+            standing[provider] = [
+                Standing(attempt.load, attempt.invocation.group, link.waiting_ns()) for attempt, link in held
+            ]
         if self.settings.tells_delay:
             for provider, ms in self.gauge.review(standing, self.clock()):
                 self.note(first[provider], api.SLOW_NOTE, ms)
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -25,6 +25,7 @@
 # A provider that drops standing connections has work piled up, which drains only slowly and shows in no
 # reply. So long it counts as slow, though short of late: most of its peers may be fine.
 SHED_NS, SHED_MS = 10 * SECOND, 40.0
+SILENT_AS_NS = int(SHED_MS * 1e6)
 
 
 class Standing(NamedTuple):
@@ -51,6 +52,11 @@
         """It reset a connection that stood."""
         self.shed_at[provider] = now
 
+    def restarted(self, provider: bytes) -> None:
+        """What was known of the old process says nothing of the new one."""
+        self.shed_at.pop(provider, None)
+        self.samples.pop(provider, None)
+
     def answered(self, provider: bytes, zone: int | None, elapsed_ns: int, now: int) -> None:
         """`zone` is given where the way there takes long; a note tells the time at the provider alone."""
         if zone is not None:
@@ -87,7 +93,9 @@
         """By the replies of late, and by the messages that already wait longer than those took."""
         times = [elapsed for at, elapsed in self.samples.get(provider, ()) if at >= now - KEPT_NS]
         late = median(times) if times else 0
-        times += [one.waiting_ns for one in held if one.waiting_ns > late]
+        # One that answers nothing is stalled or gone, which says nothing of how full the others are: it is
+        # left like a slow one, but does not count as late before a reply does.
+        times += [min(one.waiting_ns, SILENT_AS_NS) for one in held if one.waiting_ns > late]
         return median(times) if times else 0.0
 
     def reckoned(self, provider: bytes, held: list[Standing], usual: float) -> float:
@@ -95,7 +103,9 @@
         if not usual:
             return 0.0
         weight = self.weights.get(provider, 1.0)
-        asked = sum(usual if one.load is None else one.load for one in held) * self.proxies
+        # A connection far heavier than usual is this proxy's own; the others' are taken as usual ones.
+        asked = sum(usual if one.load is None else one.load for one in held)
+        asked += usual * len(held) * (self.proxies - 1)
         asked += GROUP_COST * usual * len({one.group for one in held})
         fullness = min(asked / (weight * 1e6), FULLEST)
         return MESSAGE_NS * CORES / weight / (1.0 - fullness)
--- a/linnetshift/core/invocation.py
+++ b/linnetshift/core/invocation.py
@@ -46,6 +46,9 @@
     def waiting_ns(self) -> int:
         """How long the oldest message that wants a reply has waited for it."""
 
+    def quiet_ns(self) -> int:
+        """How long ago anything last came from the provider."""
+
     def consumer_ended(self, reset: bool) -> None:
         """End it the way the consumer ended its own."""
 
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -10,7 +10,8 @@
 from linnetshift.net.channels import ChannelsFront
 from linnetshift.net.loop import MS, Actor, Loop, S, Script, Timeout
 
-REVIEW_NS = S  # how often message times are looked at
+REVIEW_NS = 250 * MS  # how often silence is looked for
+REVIEWS = 4  # and message times at one in so many
 
 
 class Module(Actor):
@@ -28,12 +29,15 @@
         self.loop.call_later(delay_ns, fire)
 
     def live(self) -> Script:
-        self.alarm(REVIEW_NS, "review")
+        self.alarm(REVIEW_NS, 1)
         while True:
-            if (yield) == Timeout("review"):
-                self.alarm(REVIEW_NS, "review")
-                self.broker.review_messages()
-                continue
+            match (yield):
+                case Timeout(tag=int(review)):
+                    self.alarm(REVIEW_NS, review + 1)
+                    self.broker.review_silence()
+                    if review % REVIEWS == 0:
+                        self.broker.review_messages()
+                    continue
             try:
                 self.broker.drain()
             except Exception as error:
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -97,6 +97,7 @@
         super().__init__(loop)
         self.broker, self.attempt, self.endpoint = broker, attempt, endpoint
         self.asked_at = 0  # when a message went out that has no reply yet
+        self.heard_at = loop.now()
         self.last = Outcome.RESET  # what the end of the connection means, by the last line
         self.hung_up = False
         self.reason = Reason.ABANDONED
@@ -119,6 +120,11 @@
     def waiting_ns(self) -> int:
         return self.loop.now() - self.asked_at if self.asked_at else 0
 
+    def quiet_ns(self) -> int:
+        if self.stream is None or not self.stream.reading:
+            return 0  # its consumer does not take what it may have said
+        return self.loop.now() - self.heard_at
+
     def consumer_ended(self, reset: bool) -> None:
         self.hung_up = True
         self.post(Hangup(reset))
@@ -272,6 +278,7 @@
 
     def heed(self, line: memoryview) -> None:
         """What a line tells the proxy; it is passed on all the same."""
+        self.heard_at = self.loop.now()
         text = bytes(line[:64]).strip()
         if text.startswith(b"LOAD "):
             try:
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -230,7 +230,8 @@
                 continue
             was = known.state
             if entry.started_ns != known.started:
-                self.seed_tokens(known)
+                self.seed_tokens(known)  # and what was held against it ended with the old process
+                known.hot_until = known.late_until = known.avoid_until = known.spell = 0
             known.update(entry)
             if entry.state == HostState.READY:
                 continue
@@ -512,7 +513,7 @@
         self.admit_at = self.now
         used = [h for h in self.hosts.values() if h.standing]
         late = sum(self.now < h.late_until for h in used)
-        self.jammed = late > SHED_OVER * len(used)
+        self.jammed = late > max(1.0, SHED_OVER * len(used))  # one alone can be left for the others
         if self.jammed:
             self.admit = max(self.admit * (1.0 - SHED_STEP), ADMIT_LEAST)
         elif late <= ADMIT_UNDER * len(used):
@@ -595,8 +596,7 @@
     def count_setup(self, aim_ns: int, elapsed_ns: int, failed: bool) -> None:
         """Set-up that is slow everywhere (a shared store past its rate) is not cured by another host.
 
-        Without a window, a dead node's returning clients, further attempts and the clients' own retries
-        queue up behind work that nobody waits for any more, and keep it jammed for good.
+        Without a window, returning clients and retries queue up behind work that nobody waits for.
         """
         slow = failed or elapsed_ns > aim_ns
         self.failing += SETUP_MEMORY * (slow - self.failing)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -125,3 +125,15 @@
     # A warm host of its size holds 25 of the first hundred and 125 of the wave's five hundred. Filling that
     # over the warm-up is 12.5 a second; a quarter to two fifths of it now, times 3, halved for safety.
     assert 1 <= to_cold <= 2 * 12.5 * 0.43 * 3 * 0.5
+
+
+def test_a_restarted_host_starts_without_the_old_process_s_marks() -> None:
+    # Back after a crash, it went on being passed over while the others were crowded.
+    node = balancer(3)
+    (first,) = only(node.step(2 * S, [request(1, key=5)]), api.Send)
+    node.step(2 * S, [ended(first, 0, Outcome.CONNECT_FAILED)])
+    assert node.passed_over(node.hosts[first.host])
+    back = node.hosts[first.host]
+    again = api.HostEntry(back.id, back.zone, 0, back.cell, HostState.READY, 1.0, 2 * S)
+    node.step(2 * S + MS, [listed(again, form=ListForm.DELTA)])
+    assert not node.passed_over(back)
