--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -103,9 +103,7 @@
         if not usual:
             return 0.0
         weight = self.weights.get(provider, 1.0)
-        # A connection far heavier than usual is this proxy's own; the others' are taken as usual ones.
-        asked = sum(usual if one.load is None else one.load for one in held)
-        asked += usual * len(held) * (self.proxies - 1)
+        asked = sum(usual if one.load is None else one.load for one in held) * self.proxies
         asked += GROUP_COST * usual * len({one.group for one in held})
         fullness = min(asked / (weight * 1e6), FULLEST)
         return MESSAGE_NS * CORES / weight / (1.0 - fullness)
