Open a door for operators: readiness, and taking providers out and calling them back

Ruled out: the directory's own list, which named the server as serving throughout, so no reading of it could have helped. Change: net/ops.py answers; core/bans.py lays the bans over every list as drains; adopted connections, attempts being dialled and probes heed them.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 
 from linnetshift.core.broker import Broker
 from linnetshift.net import log
@@ -16,6 +17,7 @@
 from linnetshift.net.limits import Strangers
 from linnetshift.net.loop import Loop
 from linnetshift.net.module import Departure, Module, Mover
+from linnetshift.net.ops import Door
 from linnetshift.net.platform import Acceptor, Front, PlatformFront
 from linnetshift.net.provider import ProviderGate
 from linnetshift.net.vrrp import Vrrp
@@ -47,11 +49,30 @@
         elif own.channels is not None:
             self.channels.listen(own.channels)
         self.departing = False
+        self.door = Door(loop, self)
+        if config.admin is not None:
+            self.door.follow(Acceptor(loop, config.admin, self.door.take))
 
     def listed(self, roster: Roster) -> None:
         self.gate.listed(roster.event, roster.endpoints)
         self.broker.listed(roster.event)
 
+    # ---- what operators ask -----------------------------------------------------------------
+
+    def readiness(self) -> str:
+        if self.departing:
+            return "leaving"
+        if not self.broker.bans.listed:
+            return "waiting for the list of providers"
+        return "" if self.front.address is not None else "not listening"
+
+    def set_out(self, provider: bytes, out: bool, done: Callable[[bool], None]) -> None:
+        known = self.broker.take_out(provider) if out else self.broker.call_back(provider)
+        log.note("provider-set", provider=os.fsdecode(provider), out=out, known=known)
+        self.module.settled(lambda: done(known))
+
+    # ---- what happens to the program --------------------------------------------------------
+
     def elected(self, active: bool) -> None:
         """The channels front listens only while active; its channels move once it no longer is."""
         if active and self.own.channels is not None:
@@ -91,24 +112,29 @@
         Whatever is wrong with them, the program runs on with what it had.
         """
         bound: list[tuple[Front, Acceptor]] = []
+        door: Acceptor | None = None
         try:
             config, own = read_files()
             if own.vrrp != self.own.vrrp:
                 raise ConfigError("a change of [vrrp] needs a restart")
             if (name := self.names.lost(config.names)) is not None:
                 raise ConfigError(f"{name!r} has lost its place in the settings; that needs a restart")
+            if config.admin is not None and config.admin != self.door.address:
+                door = Acceptor(self.loop, config.admin, self.door.take)
             wanted = [(self.front, config.listen), (self.channels, own.channels)]
             for front, address in () if self.departing else wanted:
                 idle = front is self.channels and own.vrrp is not None and front.address is None
                 if address is not None and address != front.address and not idle:
                     bound.append((front, Acceptor(self.loop, address, front.take)))
         except (ConfigError, OSError) as error:
-            for _, acceptor in bound:
+            for acceptor in [acceptor for _, acceptor in bound] + ([door] if door is not None else []):
                 acceptor.close()
             log.note("reload-refused", error=str(error))
             return
         for front, acceptor in bound:
             front.follow(acceptor)
+        if door is not None or config.admin is None:
+            self.door.follow(door)
         if own.channels is None and self.channels.address is not None:
             self.move_channels()
         self.own = own
--- /dev/null
+++ b/linnetshift/core/bans.py
@@ -0,0 +1,72 @@
+"""Providers that operators have taken out: laid over every list on its way to the module.
+
+A provider that is taken out is listed as draining, whatever the directory says of it, until it is called
+back. So the module needs no rule for it: it sends nothing new there and moves off what stands.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from linnetshift.interface import HostEntry, HostList, HostState, ListForm
+
+MOST_KNOWN = 4096  # machines are replaced under new names: without a bound, the gone ones would pile up
+
+
+class Bans:
+    def __init__(self, clock: Callable[[], int]) -> None:
+        self.clock = clock
+        self.version = 0
+        self.listed: dict[bytes, HostEntry] = {}  # as the directory last told, also of those that are gone
+        self.since: dict[bytes, int] = {}  # when each was taken out
+        self.back: dict[bytes, tuple[int, int]] = {}  # of those called back: when taken out, when called
+
+    def lay_over(self, event: HostList) -> HostList:
+        """The list or change as the module is to see it."""
+        if event.form == ListForm.FAILED:
+            return event
+        self.version = event.version
+        if event.form in (ListForm.FULL, ListForm.CACHED):
+            named = {entry.host for entry in event.entries}
+            for host, entry in self.listed.items():
+                if host not in named:
+                    self.listed[host] = entry._replace(state=HostState.GONE)
+        for entry in event.entries:
+            self.listed[entry.host] = entry
+        self.trim()
+        return event._replace(entries=tuple(self.shown(entry) for entry in event.entries))
+
+    def shown(self, entry: HostEntry) -> HostEntry:
+        taken, called = self.back.get(entry.host, (0, 0))
+        if called and entry.started_ns > taken:
+            del self.back[entry.host]  # the directory has heard of the restart: its word is the exact one
+        elif called:
+            entry = entry._replace(started_ns=called)
+        if entry.host in self.since and entry.state == HostState.READY:
+            entry = entry._replace(state=HostState.DRAINING)
+        return entry
+
+    def trim(self) -> None:
+        if len(self.listed) > MOST_KNOWN:
+            gone = [h for h, e in self.listed.items() if e.state == HostState.GONE and h not in self.since]
+            for host in gone[: len(self.listed) - MOST_KNOWN]:
+                del self.listed[host]
+                self.back.pop(host, None)
+
+    def holds(self, host: bytes) -> bool:
+        return host in self.since
+
+    def knows(self, host: bytes) -> bool:
+        """Whether it was ever listed."""
+        return host in self.listed
+
+    def take_out(self, host: bytes) -> None:
+        self.since[host] = self.clock()
+
+    def call_back(self, host: bytes) -> None:
+        """It has been restarted meanwhile, so it counts as cold from now on unless the list knows better."""
+        self.back[host] = self.since.pop(host), self.clock()
+
+    def change(self, host: bytes) -> HostList:
+        """What the module is told of one provider after a call."""
+        return HostList(ListForm.DELTA, self.version, (self.shown(self.listed[host]),))
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -12,6 +12,7 @@
 
 from linnetshift import interface as api
 from linnetshift.contracts import Contracts
+from linnetshift.core.bans import Bans
 from linnetshift.core.gauge import MessageGauge, Standing
 from linnetshift.core.invocation import Attempt, Consumer, Invocation, Link
 from linnetshift.core.ports import Directory, Providers, Timers
@@ -51,6 +52,7 @@
         self.zones: dict[bytes, int] = {}
         self.starts: dict[bytes, int] = {}
         self.gauge = MessageGauge()
+        self.bans = Bans(clock)
         self.configure(settings, contracts)
 
     def configure(self, settings: api.Settings, contracts: Contracts) -> None:
@@ -103,6 +105,23 @@
         self.post(api.TimerFired(token))
 
     def listed(self, event: api.HostList) -> None:
+        self.told(self.bans.lay_over(event))
+
+    def take_out(self, provider: bytes) -> bool:
+        """Send nothing new there until it is called back; whether it was ever listed."""
+        if self.bans.knows(provider) and not self.bans.holds(provider):
+            self.bans.take_out(provider)
+            self.told(self.bans.change(provider))
+        return self.bans.knows(provider)
+
+    def call_back(self, provider: bytes) -> bool:
+        """Use it again at once; whether it was ever listed."""
+        if self.bans.holds(provider):
+            self.bans.call_back(provider)
+            self.told(self.bans.change(provider))
+        return self.bans.knows(provider)
+
+    def told(self, event: api.HostList) -> None:
         if event.form in (ListForm.FULL, ListForm.CACHED):
             self.zones, self.gauge.weights = {}, {}
             named = {entry.host for entry in event.entries}
@@ -205,7 +224,10 @@
         self.timers.later(ADOPT_AGAIN_NS, lambda: self.adopt(invocation))
 
     def adopt(self, invocation: Invocation) -> None:
-        if not invocation.answered:
+        if self.bans.holds(invocation.adopt):  # this goes past the module, which would not send there
+            if self.answer(invocation.id) is not None:
+                invocation.consumer.fail()
+        elif not invocation.answered:
             self.open(invocation, invocation.adopt, invocation.deadline)
 
     def tell_ended(self, attempt: Attempt, outcome: int) -> None:
--- a/linnetshift/net/config.py
+++ b/linnetshift/net/config.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import json
+import os
 import tomllib
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -31,6 +32,7 @@
     settings: api.Settings
     names: Names
     sockets: int  # the platform's limit; 0 where it gives none
+    admin: Endpoint | None  # where operators call, if they do
 
 
 def read_config(path: str | None) -> Config:
@@ -45,6 +47,7 @@
         raise ConfigError(f"{path} is not JSON: {error}") from None
     if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
         raise ConfigError(f"{path} holds no settings")
+    admin = os.environ.get("GW_ADMIN_ADDR") or raw.get("admin_addr")
     try:
         names = Names(raw["settings"])
         return Config(
@@ -56,6 +59,7 @@
             settings=api.Settings.parse(raw["settings"]),
             names=names,
             sockets=int((raw.get("limits") or {}).get("sockets") or 0),
+            admin=parse_endpoint(str(admin)) if admin else None,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: key {error} is missing") from None
--- a/linnetshift/net/log.py
+++ b/linnetshift/net/log.py
@@ -29,6 +29,7 @@
     SLOW_OPENER = "slow-opener"
     SHED = "shed"  # the longest silent stranger, for want of descriptors
     PROBED = "probed"  # a front asked whether this proxy is ready
+    ANSWERED = "answered"  # an operator's call
     EMPTY = "empty"  # ended without a line
     UNREACHABLE = "unreachable"
     TURNED_AWAY = "turned-away"
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from linnetshift.core.broker import Broker
 from linnetshift.interface import Settings
@@ -14,6 +15,10 @@
 REVIEWS = 4  # and message times at one in so many
 
 
+class Settled(NamedTuple):
+    done: Callable[[], None]
+
+
 class Module(Actor):
     """Lets the broker decide on all that has come in at one turn of the loop together."""
 
@@ -22,6 +27,10 @@
     def soon(self) -> None:
         self.post(None)
 
+    def settled(self, done: Callable[[], None]) -> None:
+        """Have `done` called once the module has decided on all that is in by now."""
+        self.post(Settled(done))
+
     def wake(self, delay_ns: int, token: int) -> None:
         self.later(delay_ns, lambda: self.broker.timer_fired(token))
 
@@ -37,12 +46,18 @@
                     self.broker.review_silence()
                     if review % REVIEWS == 0:
                         self.broker.review_messages()
-                    continue
-            try:
-                self.broker.drain()
-            except Exception as error:
-                # What stands goes on, and the broker answers what the module no longer does.
-                log.fault(error)
+                case Settled(done):
+                    self.decide()
+                    done()
+                case _:
+                    self.decide()
+
+    def decide(self) -> None:
+        try:
+            self.broker.drain()
+        except Exception as error:
+            # What stands goes on, and the broker answers what the module no longer does.
+            log.fault(error)
 
 
 # On a planned stop new connections keep arriving for up to 0.4 s; the kill comes no earlier than the
--- /dev/null
+++ b/linnetshift/net/ops.py
@@ -0,0 +1,215 @@
+"""The operators' door: HTTP/1.1 at an address of its own, one call for each connection.
+
+Callers are people and scripts that may be slow, broken or many; none of them holds up another, and all
+together cost a few descriptors and buffers.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Callable
+from email.utils import formatdate
+from typing import NamedTuple, Protocol
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+
+from linnetshift.net import log
+from linnetshift.net.limits import MOST_TOLD
+from linnetshift.net.log import Reason
+from linnetshift.net.loop import Actor, Io, Loop, S, Script, Timeout
+from linnetshift.net.platform import Acceptor
+from linnetshift.net.provider import Endpoint, Steps, Stop, linger
+from linnetshift.net.stream import End, Stream
+
+# Some callers connect and finish no call for 4 s: they get their no, and never cost anyone else theirs.
+CALL_NS = 3 * S
+MOST_CALLERS = 24  # at once; one more ends the one that has been unfinished longest
+MOST_HEAD, MOST_BODY = 4096, 4096
+READINESS, DOWN, UP = "/ops/readiness", "/ops/servers/down", "/ops/servers/up"
+METHODS = {READINESS: ("GET", "HEAD"), DOWN: ("PUT",), UP: ("PUT",)}
+
+
+class Operations(Protocol):
+    """What operators may ask of the program."""
+
+    def readiness(self) -> str:
+        """Why no consumer is taken at the moment; empty when they are."""
+
+    def set_out(self, provider: bytes, out: bool, done: Callable[[bool], None]) -> None:
+        """Take a provider out or call it back; `done` hears, once that is acted on, whether it is known."""
+
+
+class Answer(NamedTuple):
+    status: int
+    text: str
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Done(NamedTuple):
+    known: bool
+
+
+class Caller(Actor):
+    """One connection: one call, its answer, and the end."""
+
+    def __init__(self, door: Door, sock: socket.socket, peer: Endpoint) -> None:
+        super().__init__(door.loop)
+        self.door, self.peer = door, peer
+        self.stream = Stream(self.loop, sock, lambda mask: self.post(Io(mask)), size=MOST_HEAD)
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.asked = ""
+        self.began = self.loop.now()
+
+    def live(self) -> Script:
+        self.door.callers[self] = None
+        self.stream.arm()
+        timer = self.alarm(CALL_NS, "call")
+        answer = yield from self.call()
+        timer.cancel()
+        self.door.callers.pop(self, None)
+        reason = Reason.EMPTY
+        if answer is not None:
+            reason = Reason.SLOW_OPENER if answer.status == 408 else Reason.ANSWERED
+            self.reply(answer)
+            self.stream.finish()
+            yield from linger(self, self.stream, self.began + CALL_NS)
+        self.stream.close()
+        self.report(reason, answer.status if answer is not None else 0)
+
+    def faulted(self, error: Exception) -> None:
+        """A fault met on one call must not end the program."""
+        log.fault(error)
+        self.door.callers.pop(self, None)
+        self.stream.close(End.RESET)
+        self.report(Reason.FAULT, 500)
+
+    def report(self, reason: Reason, status: int) -> None:
+        log.ended(
+            "operator",
+            reason,
+            peer=f"{self.peer[0]}:{self.peer[1]}",
+            call=self.asked[:MOST_TOLD],
+            status=status,
+            ms=(self.loop.now() - self.began) // 1_000_000,
+        )
+
+    def shed(self) -> None:
+        """One caller too many: the one that has been unfinished longest is told to come again."""
+        self.door.callers.pop(self, None)
+        self.post(Stop())
+
+    def call(self) -> Steps:
+        """The answer to the one call; None where the peer ended without asking anything."""
+        target, size, ended = None, 0, self.read()
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                return Answer(error.error_status_hint, f"{error}")
+            match event:
+                case h11.Request():
+                    method, target = event.method.decode("ascii"), event.target.decode("ascii", "replace")
+                    self.asked = f"{method} {target}"
+                    if self.http.they_are_waiting_for_100_continue:
+                        go_on = h11.InformationalResponse(status_code=100, headers=[])
+                        self.stream.send(self.http.send(go_on))
+                case h11.Data():
+                    size += len(event.data)
+                    if size > MOST_BODY:
+                        return Answer(413, "these calls need no body")
+                case h11.EndOfMessage() if target is not None:
+                    return (yield from self.answer(method, target))
+                case h11.NEED_DATA if not ended:
+                    match (yield):
+                        case Io(mask):
+                            if mask & select.EPOLLOUT:
+                                self.stream.flush()
+                            ended = self.read()
+                        case Timeout(tag="call"):
+                            return Answer(408, "no whole call came in time")
+                        case Stop():
+                            return Answer(503, "too many callers at once", (("Retry-After", "1"),))
+                case _:
+                    return None  # ended, or reset
+
+    def read(self) -> bool:
+        """Hand on what came; whether the peer ended."""
+        end = self.stream.fill()
+        if data := self.stream.rest():
+            self.http.receive_data(bytes(data))
+        if end is End.FIN:
+            self.http.receive_data(b"")
+        return end is End.RESET
+
+    def answer(self, method: str, target: str) -> Steps:
+        split = urlsplit(target)
+        methods = METHODS.get(split.path)
+        if methods is None:
+            return Answer(404, "no such call")
+        if method not in methods:
+            return Answer(405, f"use {methods[0]}", (("Allow", ", ".join(methods)),))
+        if split.path == READINESS:
+            why_not = self.door.operations.readiness()
+            return Answer(503 if why_not else 200, why_not or "taking consumers")
+        ids = parse_qs(split.query).get("id", [])
+        if len(ids) != 1:
+            return Answer(400, "give one id, as in ?id=ID")
+        out = split.path == DOWN
+        self.door.operations.set_out(ids[0].encode(), out, lambda known: self.post(Done(known)))
+        while True:
+            match (yield):
+                case Done(known):
+                    if not known:
+                        return Answer(404, f"{ids[0]} was never listed")
+                    return Answer(200, f"{ids[0]} is {'taken out' if out else 'in use'}")
+                case Io():
+                    self.stream.want(False)  # whatever else it sends is not asked for
+                case Timeout(tag="call"):
+                    return Answer(504, "acted on here, but no word from the process beside this one")
+                case Stop():
+                    pass  # its answer is on the way
+
+    def reply(self, answer: Answer) -> None:
+        body = answer.text.encode("utf-8", "replace") + b"\n"
+        headers = [
+            ("Date", formatdate(usegmt=True)),
+            ("Content-Type", "text/plain; charset=utf-8"),
+            ("Content-Length", str(len(body))),
+            ("Cache-Control", "no-store"),
+            ("Connection", "close"),
+            *answer.headers,
+        ]
+        try:
+            sent = self.http.send(h11.Response(status_code=answer.status, headers=headers)) or b""
+            if not self.asked.startswith("HEAD "):
+                sent += self.http.send(h11.Data(data=body)) or b""
+        except h11.LocalProtocolError:  # a call so broken that nothing can be answered to it
+            return
+        self.stream.send(sent)
+
+
+class Door:
+    """Listens for operators while it is told where."""
+
+    def __init__(self, loop: Loop, operations: Operations) -> None:
+        self.loop, self.operations = loop, operations
+        self.callers: dict[Caller, None] = {}  # those whose call is not finished, the oldest first
+        self.acceptor: Acceptor | None = None
+
+    @property
+    def address(self) -> Endpoint | None:
+        return self.acceptor.address if self.acceptor is not None else None
+
+    def follow(self, acceptor: Acceptor | None) -> None:
+        """Listen there from now on, or nowhere; calls that are under way are answered."""
+        if self.acceptor is not None:
+            self.acceptor.close()
+        self.acceptor = acceptor
+
+    def take(self, sock: socket.socket, peer: Endpoint) -> None:
+        if len(self.callers) >= MOST_CALLERS:
+            next(iter(self.callers)).shed()
+        caller = Caller(self, sock, peer)
+        caller.start(caller.live())
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -177,6 +177,10 @@
             return Outcome.CONNECT_FAILED
         stream = self.stream
         assert stream is not None
+        if self.broker.bans.holds(self.attempt.provider):
+            # Taken out while this was dialled: not a byte may reach it, and the module places it anew.
+            self.reason = Reason.ABANDONED
+            return Outcome.MOOT
         left = self.attempt.deadline - self.loop.now()
         stream.send(self.attempt.invocation.opening(max(1, left // MS)))
         timer = self.alarm(left, "answer")
@@ -401,8 +405,9 @@
         broker = self.broker
         assert broker is not None
         endpoint = self.endpoints.get(provider)
-        if endpoint is None:
-            broker.probed(provider, Outcome.CONNECT_FAILED, 0, ())
+        if endpoint is None or broker.bans.holds(provider):
+            # One that was taken out is asked nothing; FULL is what says nothing of a provider.
+            broker.probed(provider, Outcome.CONNECT_FAILED if endpoint is None else Outcome.FULL, 0, ())
             return
         prober = Prober(self.loop, lambda outcome, ns: broker.probed(provider, outcome, ns, ()))
         prober.start(prober.live(endpoint))
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -223,6 +223,7 @@
 
     def __init__(self, process: subprocess.Popen[str], port: int, extra_port: int) -> None:
         self.process, self.port, self.extra_port = process, port, extra_port
+        self.admin_port = 0
         self.listeners: list[Listener] = []
         self.directory: Directory
         self.config: Path
@@ -268,6 +269,11 @@
         listener = self.asked()
         return listener, listener.serve()
 
+    def call(self, call: str) -> int:
+        """An operator's call; the status it is answered with."""
+        conn = self.client(call.encode() + b" HTTP/1.1\r\nHost: x\r\n\r\n", self.admin_port)
+        return int(conn.line().split()[1])
+
     def alive(self) -> bool:
         return self.client(b"PING\r\n").line() == b"PONG\r\n"
 
@@ -318,12 +324,13 @@
     providers: int = 1,
     own: str = "",
     before: Callable[[], None] | None = None,
+    door: bool = False,
     **changes: Any,
 ) -> Iterator[Proxy]:
-    """`own` is the broker's own file; PORT in it is the proxy's `extra_port`."""
+    """`own` is the broker's own file; PORT in it is the proxy's `extra_port`. `door`: for operators."""
     listeners = [Listener(f"s-{n}") for n in range(providers)]
     directory = Directory(listeners)
-    port, extra = free_port(), free_port()
+    port, extra, admin = free_port(), free_port(), free_port()
     config, own_file = folder / "config.json", folder / "broker.toml"
     config.write_text(
         json.dumps(
@@ -334,12 +341,14 @@
                 "seed": "8c1f30d27a5be964",
                 "known": directory.listing(),
                 "settings": settings(**changes),
+                **({"admin_addr": f"127.0.0.1:{admin}"} if door else {}),
             }
         )
     )
     own_file.write_text(own.replace("PORT", str(extra)))
     running = Proxy(launch(str(config), str(own_file), before), port, extra)
     running.listeners, running.directory, running.config = listeners, directory, config
+    running.admin_port = admin
     try:
         running.logged("event=started")
         yield running
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,127 @@
+"""The operators' door, and providers that are taken out and called back."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from conftest import MS, S, entry, host, listed
+from proxy import Conn, Proxy, proxy, settings
+from test_platform import ranked
+
+from linnetshift import interface as api
+from linnetshift.core.bans import Bans
+
+DOWN, UP = "PUT /ops/servers/down?id=%s", "PUT /ops/servers/up?id=%s"
+
+
+@pytest.mark.parametrize(
+    "call, status",
+    [
+        ("GET /ops/readiness", 200),
+        ("HEAD /ops/readiness", 200),
+        ("PUT /ops/readiness", 405),
+        ("GET /ops/servers/down?id=s-0", 405),
+        ("PUT /ops/servers/down", 400),
+        ("PUT /ops/servers/down?id=s-0&id=s-1", 400),
+        (DOWN % "s-unknown", 404),
+        (UP % "s-unknown", 404),
+        (UP % "s-0", 200),
+        ("GET /", 404),
+        ("nonsense", 400),
+        ("GET /" + 20_000 * "x", 431),
+    ],
+)
+def test_calls_are_answered_with_http_s_own_codes(tmp_path: Path, call: str, status: int) -> None:
+    with proxy(tmp_path, door=True) as running:
+        assert running.call(call) == status
+        running.logged("side=operator reason=answered")
+        assert running.alive()
+
+
+def test_callers_that_finish_nothing_hold_up_no_other(tmp_path: Path) -> None:
+    with proxy(tmp_path, door=True) as running:
+        idle = [running.client(b"GET /ops/rea", running.admin_port) for _ in range(60)]
+        assert running.call("GET /ops/readiness") == 200
+        assert idle[0].line().startswith(b"HTTP/1.1 503 ")  # one too many: the longest unfinished goes
+        assert idle[-1].line().startswith(b"HTTP/1.1 408 ")  # and nobody stays for ever
+        running.logged("side=operator reason=slow-opener")
+
+
+def test_not_ready_without_a_list_and_while_leaving(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=0, door=True) as running:
+        assert running.call("GET /ops/readiness") == 503
+    with proxy(tmp_path, door=True) as running:
+        running.standing()
+        running.leave()
+        running.logged("event=leaving")
+        assert running.call("GET /ops/readiness") == 503
+
+
+def lands_on(running: Proxy, uid: str) -> tuple[Conn, Conn]:
+    """A consumer of the key that all tests use, and its provider's end."""
+    consumer = running.open()
+    listener, provider = running.serve_any()
+    assert (listener.uid, consumer.line()) == (uid, b"UP r1\r\n")
+    return consumer, provider
+
+
+def test_a_provider_taken_out_gets_nothing_until_it_is_called_back(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=2, door=True, rules={"warmUpNs": 1 * MS}) as running:
+        first, second = ranked(running)
+        consumer, provider = lands_on(running, first.uid)
+        for _ in range(2):  # a call out may be repeated
+            assert running.call(DOWN % first.uid) == 200
+        assert consumer.line() == b"MOVE\r\n"  # before it is restarted
+        kept = [provider, lands_on(running, second.uid)]
+        running.directory.change(**{second.uid: "SERVING"})  # a whole list that names it as serving
+        running.directory.calls.get(timeout=20)
+        running.reload("event=reloaded")
+        kept.append(lands_on(running, second.uid))
+        adopted = running.client(b"OPEN 1 2 c=feed,t=acme,d=2000,at=%s\r\n" % first.uid.encode())
+        assert adopted.line() == b"ERR\r\n"
+        assert running.call(UP % first.uid) == 200  # one is enough
+        assert running.call(DOWN % second.uid) == 200
+        kept.append(lands_on(running, first.uid))
+
+
+def test_what_is_dialled_when_its_provider_is_taken_out_goes_elsewhere(tmp_path: Path) -> None:
+    patient = [{**settings()["services"][0], "aimNs": 10 * S, "hardLimitNs": 20 * S}]
+    with proxy(
+        tmp_path, providers=2, door=True, services=patient, allowed={"connectTimeoutNs": 10 * S}
+    ) as running:
+        first, second = ranked(running)
+        first.sock.listen(0)  # its queue holds one: the proxy's connection does not come up for now
+        plug = running.client(port=first.port)
+        consumer = running.open(wait_ms=20_000)
+        assert running.alive()  # so the line before it has been acted on
+        assert running.call(DOWN % first.uid) == 200
+        first.accept()
+        plug.close()
+        assert first.accept().line() == b""  # it comes up after all, and is told nothing
+        second.serve()
+        assert consumer.line() == b"UP r1\r\n"
+
+
+@pytest.mark.parametrize(
+    "starts, seen",
+    [
+        ([0], 9 * S),  # the list knows nothing newer: it is taken to have started when it was called back
+        ([6 * S], 6 * S),  # it has heard of the restart
+        ([0, 6 * S, 7 * S], 7 * S),
+    ],
+)
+def test_what_is_called_back_counts_as_cold(starts: list[int], seen: int) -> None:
+    now = 5 * S
+    bans = Bans(lambda: now)
+    bans.lay_over(listed(entry(1), entry(2)))
+    bans.take_out(host(1))
+    for form in (api.ListForm.FULL, api.ListForm.CACHED, api.ListForm.DELTA):
+        shown = bans.lay_over(listed(entry(1), entry(2), form=form)).entries
+        assert [e.state for e in shown] == [api.HostState.DRAINING, api.HostState.READY]
+    now = 9 * S
+    bans.call_back(host(1))
+    for started in starts:
+        shown = bans.lay_over(listed(entry(1, started_ns=started))).entries
+    assert shown == (entry(1, started_ns=seen),)
+    assert bans.knows(host(2))  # gone from the list by now
