Hand over to a new process: list, bans, budgets, sockets and what was learned of providers

Ruled out: lost or refused connections (0 ended at the door), late readiness (0.2 s), waiting (p50 21 ms). Cause: the new module sent consumers back to providers that the old one had left, and its gauge reckoned without the half of the connections that the old process still held (core/gauge.py, reckoned). Change: core/memory.py passes on what was learned; each process tells the other what it holds.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -8,50 +8,80 @@
 import socket
 import sys
 from collections.abc import Callable
+from typing import Any
 
 from linnetshift.core.broker import Broker
+from linnetshift.core.gauge import Standing
+from linnetshift.core.memory import recall
 from linnetshift.net import log
 from linnetshift.net.channels import ChannelsFront
-from linnetshift.net.config import BrokerFile, Config, ConfigError, read_broker_file, read_config
-from linnetshift.net.directory import Directory, Roster
+from linnetshift.net.config import (
+    BrokerFile,
+    Config,
+    ConfigError,
+    inherited_listener,
+    read_broker_file,
+    read_config,
+)
+from linnetshift.net.directory import Directory, Roster, describe
+from linnetshift.net.handover import Inherited, Legacy, Place, Succession, meet, spent
 from linnetshift.net.limits import Strangers
 from linnetshift.net.loop import Loop
 from linnetshift.net.module import Departure, Module, Mover
 from linnetshift.net.ops import Door
 from linnetshift.net.platform import Acceptor, Front, PlatformFront
 from linnetshift.net.provider import ProviderGate
-from linnetshift.net.vrrp import Vrrp
+from linnetshift.net.vrrp import State, Vrrp
 
 
 class Program:
     """All parts of one proxy, wired."""
 
-    def __init__(self, config: Config, own: BrokerFile) -> None:
+    def __init__(
+        self,
+        config: Config,
+        own: BrokerFile,
+        given: socket.socket | None = None,
+        place: Place | None = None,
+        legacy: Legacy | None = None,
+    ) -> None:
+        """`given` is the platform's listening socket, `legacy` what the process before handed over."""
         self.loop = loop = Loop()
         self.names, self.own = config.names, own
         self.gate = ProviderGate(loop)
-        self.directory = Directory(loop, config.directory, self.names, config.known, self.listed)
+        inherited = Inherited(legacy, self.names)
+        known = inherited.roster or config.known
+        self.directory = Directory(loop, config.directory, self.names, known, self.listed)
         self.module = Module(loop)
         self.broker = self.module.broker = self.gate.broker = Broker(
             config.settings, config.seed, loop.now, self.module, self.directory, self.gate, own.contracts
         )
         self.module.start(self.module.live())
         self.directory.start(self.directory.live())
-        self.listed(config.known)
+        inherited.restore(self.broker)
+        self.listed(known)
+        inherited.remember(self.broker)
         self.strangers = Strangers(loop, config.sockets)
         self.front = PlatformFront(loop, self.broker, self.names, self.strangers)
-        self.front.listen(config.listen)
+        self.given = given
+        self.front.listen(config.listen, given)
         self.channels = ChannelsFront(loop, self.broker, self.names, self.strangers)
         self.vrrp: Vrrp | None = None
+        self.passed = inherited.sockets
         if own.vrrp is not None:
-            self.vrrp = Vrrp(loop, own.vrrp, self.elected)
+            socket_before = self.passed.pop("vrrp", None)
+            self.vrrp = Vrrp(loop, own.vrrp, self.elected, socket_before, inherited.active)
             self.vrrp.start(self.vrrp.live())
         elif own.channels is not None:
-            self.channels.listen(own.channels)
-        self.departing = False
+            self.channels.listen(own.channels, self.passed.pop("channels", None))
+        for unused in self.passed.values():  # else what connects there would wait for nobody
+            unused.close()
+        self.departure: Departure | None = None
+        self.departing = False  # by a signal
         self.door = Door(loop, self)
         if config.admin is not None:
             self.door.follow(Acceptor(loop, config.admin, self.door.take))
+        self.succession = Succession(loop, self, place, legacy)
 
     def listed(self, roster: Roster) -> None:
         self.gate.listed(roster.event, roster.endpoints)
@@ -62,21 +92,85 @@
     def readiness(self) -> str:
         if self.departing:
             return "leaving"
+        if self.succession.heir is not None:
+            return "replaced by another process"
+        if self.succession.joining:
+            return "taking over"
         if not self.broker.bans.listed:
             return "waiting for the list of providers"
         return "" if self.front.address is not None else "not listening"
 
     def set_out(self, provider: bytes, out: bool, done: Callable[[bool], None]) -> None:
+        known = self.broker.bans.knows(provider)
+        if known:
+            self.succession.ban(provider, out, lambda: done(True))
+        else:
+            done(False)
+
+    # ---- the process before or after this one -----------------------------------------------
+
+    def ban(self, provider: bytes, out: bool, done: Callable[[], None]) -> None:
         known = self.broker.take_out(provider) if out else self.broker.call_back(provider)
-        log.note("provider-set", provider=os.fsdecode(provider), out=out, known=known)
-        self.module.settled(lambda: done(known))
+        log.note("provider-set", provider=provider.decode(errors="replace"), out=out, known=known)
+        self.module.settled(done)
+
+    def state(self) -> tuple[dict[str, Any], list[int]]:
+        bans, gate = self.broker.bans, self.gate
+        targets = [
+            describe(entry, gate.endpoints[host], self.names)
+            for host, entry in bans.listed.items()
+            if host in gate.endpoints
+        ]
+        passing = {
+            "channels": self.channels.acceptor.listener.fileno() if self.channels.acceptor else -1,
+            "vrrp": self.vrrp.sock.fileno() if self.vrrp else -1,
+        }
+        passing = {what: fd for what, fd in passing.items() if fd >= 0}
+        state = {
+            "list": {"rev": self.directory.version, "all": True, "targets": targets},
+            "bans": bans.state(),
+            "budgets": spent(self.own.contracts, self.names),
+            "memory": recall(self.broker.balancer, self.broker.gauge),
+            "active": self.vrrp is not None and self.vrrp.router.state is State.ACTIVE,
+            "passed": list(passing),
+        }
+        return state, list(passing.values())
+
+    def step_back(self, back: bool) -> None:
+        """Leave all that arrives to the new process and move what is here to it; or take it on again."""
+        if self.departing and not back:
+            return  # nobody will be here in a moment
+        self.front.pause(back)
+        self.channels.pause(back)
+        if self.departing:
+            return  # and on its way as it is
+        if self.vrrp is not None:
+            self.vrrp.pause(back)
+        if back:
+            self.depart(replaced=True)
+        elif self.departure is not None:
+            self.departure.end()
+
+    def holdings(self) -> dict[str, Any]:
+        loads = {
+            provider.decode(): [(one.load, one.group) for one in held]
+            for provider, held in self.broker.loads().items()
+        }
+        return {"streams": self.loop.streams, "loads": loads}
+
+    def holds_beside(self, holdings: dict[str, Any]) -> None:
+        self.strangers.beside = int(holdings.get("streams", 0))
+        self.broker.gauge.elsewhere = {
+            provider.encode(): [Standing(load, group, 0) for load, group in held]
+            for provider, held in holdings.get("loads", {}).items()
+        }
 
     # ---- what happens to the program --------------------------------------------------------
 
     def elected(self, active: bool) -> None:
         """The channels front listens only while active; its channels move once it no longer is."""
         if active and self.own.channels is not None:
-            self.channels.listen(self.own.channels)
+            self.channels.listen(self.own.channels, self.passed.pop("channels", None))
         elif not active:
             self.move_channels()
 
@@ -104,7 +198,11 @@
         if signal.SIGHUP in caught:
             self.reload()
         if caught != {signal.SIGHUP} and not self.departing:
-            self.depart()
+            self.departing = True
+            if self.departure is not None and self.succession.heir is not None:
+                self.departure.hurry()
+            else:
+                self.depart(replaced=False)
 
     def reload(self) -> None:
         """Take up both files as they are now; what is under way, known or spent stays.
@@ -122,7 +220,9 @@
             if config.admin is not None and config.admin != self.door.address:
                 door = Acceptor(self.loop, config.admin, self.door.take)
             wanted = [(self.front, config.listen), (self.channels, own.channels)]
-            for front, address in () if self.departing else wanted:
+            for front, address in () if self.front.leaving else wanted:
+                if front is self.front and self.given is not None:
+                    continue  # the platform's own: it is where it is
                 idle = front is self.channels and own.vrrp is not None and front.address is None
                 if address is not None and address != front.address and not idle:
                     bound.append((front, Acceptor(self.loop, address, front.take)))
@@ -145,12 +245,12 @@
         self.directory.relocate(config.directory)
         log.note("reloaded", directory=f"{config.directory[0]}:{config.directory[1]}")
 
-    def depart(self) -> None:
-        self.departing = self.front.leaving = True
-        if self.vrrp is not None:
+    def depart(self, replaced: bool) -> None:
+        self.front.leaving = True
+        if self.vrrp is not None and not replaced:
             self.vrrp.stop()
-        departure = Departure(self.loop, self.broker, self.stop_listening, self.held)
-        departure.start(departure.live())
+        self.departure = Departure(self.loop, self.broker, self.stop_listening, self.held, replaced)
+        self.departure.start(self.departure.live())
 
     def stop_listening(self) -> None:
         self.front.close()
@@ -166,7 +266,9 @@
     log.set_up()
     try:
         config, own = read_files()
-        program = Program(config, own)
+        given = inherited_listener()
+        place = Place(config.name) if given is not None else None
+        program = Program(config, own, given, place, meet(place) if place is not None else None)
     except ConfigError as error:
         print(f"linnetshift: {error}", file=sys.stderr)
         return 2
@@ -176,6 +278,7 @@
     program.catch_signals()
     log.note("started", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
     program.loop.run()
+    program.succession.end()
     return 0
 
 
--- a/linnetshift/core/bans.py
+++ b/linnetshift/core/bans.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from linnetshift.interface import HostEntry, HostList, HostState, ListForm
 
@@ -67,6 +68,21 @@
         """It has been restarted meanwhile, so it counts as cold from now on unless the list knows better."""
         self.back[host] = self.since.pop(host), self.clock()
 
+    def state(self) -> dict[str, Any]:
+        """What another process needs to hold the same bans; `restore` takes it."""
+        gone = [h for h, entry in self.listed.items() if entry.state == HostState.GONE]
+        return {
+            "gone": [host.decode() for host in gone],
+            "out": {host.decode(): since for host, since in self.since.items()},
+            "back": {host.decode(): times for host, times in self.back.items()},
+        }
+
+    def restore(self, state: dict[str, Any]) -> None:
+        for host in map(str.encode, state["gone"]):
+            self.listed.setdefault(host, HostEntry(host, 0, 0, 0, HostState.GONE, 1.0, 0))
+        self.since = {host.encode(): int(since) for host, since in state["out"].items()}
+        self.back = {host.encode(): (int(t), int(c)) for host, (t, c) in state["back"].items()}
+
     def change(self, host: bytes) -> HostList:
         """What the module is told of one provider after a call."""
         return HostList(ListForm.DELTA, self.version, (self.shown(self.listed[host]),))
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -290,17 +290,20 @@
 
     def review_messages(self) -> None:
         """Once a second: note the providers whose messages are slow, each on one connection."""
-        standing: dict[bytes, list[Standing]] = {}
-        first: dict[bytes, Attempt] = {}
-        for provider, held in self.linked().items():
-            first[provider] = held[0][0]
-            standing[provider] = [
-                Standing(attempt.load, attempt.invocation.group, link.waiting_ns()) for attempt, link in held
-            ]
         if self.settings.tells_delay:
-            for provider, ms in self.gauge.review(standing, self.clock()):
+            first = {provider: held[0][0] for provider, held in self.linked().items()}
+            for provider, ms in self.gauge.review(self.loads(), self.clock()):
                 self.note(first[provider], api.SLOW_NOTE, ms)
 
+    def loads(self) -> dict[bytes, list[Standing]]:
+        """What stands asks of each provider."""
+        return {
+            provider: [
+                Standing(attempt.load, attempt.invocation.group, link.waiting_ns()) for attempt, link in held
+            ]
+            for provider, held in self.linked().items()
+        }
+
     def note(self, attempt: Attempt, kind: int, value: float) -> None:
         self.post(api.Note(attempt.invocation.id, attempt.number, attempt.provider, kind, value))
 
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -43,6 +43,7 @@
         self.samples: dict[bytes, deque[tuple[int, int]]] = {}
         self.nearest: dict[int, int] = {}  # the shortest time seen for each far zone: the way there and back
         self.slow: set[bytes] = set()
+        self.elsewhere: dict[bytes, list[Standing]] = {}  # what this proxy's other process holds
         self.shed_at: dict[bytes, int] = {}
 
     def configure(self, shortest_aim_ns: int, proxies: int) -> None:
@@ -71,7 +72,8 @@
         A slow provider is noted as long as it is slow, and once more when it no longer is.
         """
         self.shed_at = {provider: at for provider, at in self.shed_at.items() if now - at < SHED_NS}
-        told = [one.load for held in standing.values() for one in held if one.load is not None]
+        everyone = (*standing.values(), *self.elsewhere.values())
+        told = [one.load for held in everyone for one in held if one.load is not None]
         usual = fmean(told) if told else 0.0
         notes = []
         for provider, held in standing.items():
@@ -103,6 +105,7 @@
         if not usual:
             return 0.0
         weight = self.weights.get(provider, 1.0)
+        held = held + self.elsewhere.get(provider, [])
         asked = sum(usual if one.load is None else one.load for one in held) * self.proxies
         asked += GROUP_COST * usual * len({one.group for one in held})
         fullness = min(asked / (weight * 1e6), FULLEST)
--- /dev/null
+++ b/linnetshift/core/memory.py
@@ -0,0 +1,59 @@
+"""What a node has learned of its providers, in a form that the process that replaces it can take over.
+
+Without it the new process would send consumers back to the providers that the old one had just moved them
+off, and would learn of each jam anew.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from linnetshift.core.gauge import MessageGauge
+from linnetshift.policy import Balancer
+
+OF_HOST = (
+    "tokens",
+    "token_at",
+    "hot_until",
+    "late_until",
+    "avoid_until",
+    "spell",
+    "overload",
+    "struck_at",
+    "good_at",
+    "faults",
+)
+OF_NODE = (
+    "load_each",
+    "rate",
+    "rate_at",
+    "admit",
+    "admit_at",
+    "jammed",
+    "failing",
+    "window",
+    "cut_at",
+)
+
+
+def recall(balancer: Balancer, gauge: MessageGauge) -> dict[str, Any]:
+    return {
+        "node": {key: getattr(balancer, key) for key in OF_NODE},
+        "hosts": {
+            host.id.hex(): {key: getattr(host, key) for key in OF_HOST} for host in balancer.hosts.values()
+        },
+        "shed": {provider.hex(): at for provider, at in gauge.shed_at.items()},
+    }
+
+
+def remember(balancer: Balancer, gauge: MessageGauge, memory: dict[str, Any]) -> None:
+    """Once the list is known; a host that is not listed any more is left out."""
+    learned = [(balancer.hosts.get(bytes.fromhex(name)), host) for name, host in memory["hosts"].items()]
+    for known, keys, told in [(balancer, OF_NODE, memory["node"])] + [
+        (host, OF_HOST, told) for host, told in learned if host is not None
+    ]:
+        for key in keys:
+            kind = type(getattr(known, key))  # a figure of another kind is another version's
+            if isinstance(told.get(key), kind):
+                setattr(known, key, told[key])
+    gauge.shed_at.update({bytes.fromhex(name): int(at) for name, at in memory["shed"].items()})
--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -503,6 +503,14 @@
         """Take no new session; those there are end once their channels have."""
         self.leaving = True
         self.close()
+        self.wind_up()
+
+    def pause(self, paused: bool) -> None:
+        super().pause(paused)
+        if paused:
+            self.wind_up()
+
+    def wind_up(self) -> None:
         for session in self.sessions:
             session.post(Timeout("leave"))
 
--- a/linnetshift/net/config.py
+++ b/linnetshift/net/config.py
@@ -5,6 +5,7 @@
 import ipaddress
 import json
 import os
+import socket
 import tomllib
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -67,6 +68,21 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def inherited_listener() -> socket.socket | None:
+    """The listening socket that the platform holds for clients, where it does."""
+    told = os.environ.get("GW_LISTEN_FD")
+    if not told:
+        return None
+    try:
+        listener = socket.socket(fileno=int(told))
+        if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise ValueError("does not listen")
+    except (ValueError, OSError) as error:
+        reason = error.strerror if isinstance(error, OSError) else error
+        raise ConfigError(f"GW_LISTEN_FD names no listening socket: {reason}") from None
+    return listener
+
+
 class BrokerFile(NamedTuple):
     """The parts that are off unless the broker's own file turns them on."""
 
--- a/linnetshift/net/directory.py
+++ b/linnetshift/net/directory.py
@@ -79,6 +79,24 @@
     return entry, parse_endpoint(target["endpoint"])
 
 
+def describe(entry: api.HostEntry, endpoint: Endpoint, names: Names) -> dict[str, Any]:
+    """The entry as the directory would list it: what `read_entry` reads."""
+
+    def named(places: dict[str, int], place: int) -> str:
+        return next((name for name, at in places.items() if at == place), "")
+
+    return {
+        "uid": entry.host.decode(),
+        "endpoint": f"{endpoint[0]}:{endpoint[1]}",
+        "az": named(names.zones, entry.zone),
+        "model": named(names.kinds, entry.kind),
+        "pod_group": entry.cell,
+        "state": next(word for word, state in STATES.items() if state == entry.state),
+        "capacity_hint": entry.weight,
+        "boot_ms": entry.started_ns // MS,
+    }
+
+
 class Answer(NamedTuple):
     call: Call
     document: Any  # None where the call failed
--- a/linnetshift/net/limits.py
+++ b/linnetshift/net/limits.py
@@ -37,12 +37,13 @@
         known = [limit for limit in (sockets, soft) if limit > 0]  # no limit is told as 0 or -1
         self.most = min(known) - max(LEAST_SPARE, min(known) // SPARE_PART) if known else 1 << 30
         self.waiting: dict[Stranger, None] = {}
+        self.beside = 0  # descriptors that another process of this proxy holds meanwhile
         loop.make_room = self.make_room
 
     def add(self, stranger: Stranger) -> None:
         """A usual consumer's line is there at once, so that under pressure it is never the one to go."""
         self.waiting[stranger] = None
-        while self.loop.streams > self.most and len(self.waiting) > 1 and self.make_room():
+        while self.loop.streams + self.beside > self.most and len(self.waiting) > 1 and self.make_room():
             pass
 
     def remove(self, stranger: Stranger) -> None:
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -69,6 +69,7 @@
 # once would find nobody. They are moved between these parts of the time, in hundredths.
 MOVE_FROM, MOVE_UNTIL = 40, 92
 STEP_NS = 50 * MS
+SIGNAL_NS = 6 * S  # within this of the new process's yes, the signal comes to the one it replaces
 LOST_PART_NS = 2 * S  # over how long channels move once another proxy is the active one
 
 
@@ -94,34 +95,47 @@
 
 
 class Departure(Actor):
-    """Answers everything, moves every consumer away at an even pace, and stops the loop."""
+    """Answers everything, moves every consumer away at an even pace, and stops the loop.
+
+    One that is replaced has stopped accepting, and has until the signal comes and then as long as any.
+    """
 
     def __init__(
-        self, loop: Loop, broker: Broker, close: Callable[[], None], held: Callable[[], int]
+        self, loop: Loop, broker: Broker, close: Callable[[], None], held: Callable[[], int], replaced: bool
     ) -> None:
         super().__init__(loop)
-        self.broker, self.close, self.held = broker, close, held
+        self.broker, self.close, self.held, self.replaced = broker, close, held, replaced
+        now, time = loop.now(), kill_after(broker.settings) - SPARE_NS
+        self.until = now + time + (SIGNAL_NS if replaced else 0)
+        self.paced_from = now if replaced else now + time * MOVE_FROM // 100
+        self.paced_until = self.until - time * (100 - MOVE_UNTIL) // 100
+        self.accept_until = now + (0 if replaced else ACCEPT_NS)
+
+    def hurry(self) -> None:
+        """The signal has come to one that is replaced: from now on the time is known."""
+        now, time = self.loop.now(), kill_after(self.broker.settings) - SPARE_NS
+        self.until = min(self.until, now + time)
+        self.paced_until = min(self.paced_until, now + time * MOVE_UNTIL // 100)
 
     def live(self) -> Script:
-        began = self.loop.now()
-        end = began + kill_after(self.broker.settings) - SPARE_NS
-        paced_from, paced_until = (began + (end - began) * part // 100 for part in (MOVE_FROM, MOVE_UNTIL))
-        log.note("leaving", standing=len(self.broker.standing()))
-        accepting = True
-        while self.loop.now() < end:
+        log.note("leaving", standing=len(self.broker.standing()), replaced=self.replaced)
+        accepting, due = not self.replaced, 0.0
+        while self.loop.now() < self.until:
             self.alarm(STEP_NS, "step")
             yield
             now = self.loop.now()
-            if now >= began + ACCEPT_NS:
-                if accepting:
-                    accepting = False
-                    self.close()
-                standing = self.broker.standing() if now >= paced_from else []
-                steps = max(1, (paced_until - now) // STEP_NS)
-                for invocation in standing[: -(-len(standing) // steps)]:
-                    self.broker.move(invocation.id, "moved")
-                if not self.held():
-                    break
+            if now < self.accept_until:
+                continue
+            if accepting:
+                accepting = False
+                self.close()
+            standing = self.broker.standing() if now >= self.paced_from else []
+            due += len(standing) / max(1, (self.paced_until - now) // STEP_NS)
+            for invocation in standing[: int(due)]:
+                self.broker.move(invocation.id, "moved")
+            due -= int(due)
+            if not self.held():
+                break
         for invocation in self.broker.unanswered():
             self.broker.reject(invocation.id)
         for invocation in self.broker.standing():
--- a/linnetshift/net/ops.py
+++ b/linnetshift/net/ops.py
@@ -18,13 +18,14 @@
 from linnetshift.net import log
 from linnetshift.net.limits import MOST_TOLD
 from linnetshift.net.log import Reason
-from linnetshift.net.loop import Actor, Io, Loop, S, Script, Timeout
+from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
 from linnetshift.net.platform import Acceptor
 from linnetshift.net.provider import Endpoint, Steps, Stop, linger
 from linnetshift.net.stream import End, Stream
 
 # Some callers connect and finish no call for 4 s: they get their no, and never cost anyone else theirs.
 CALL_NS = 3 * S
+ACT_NS = 800 * MS  # a caller waits 1 s for what it asked
 MOST_CALLERS = 24  # at once; one more ends the one that has been unfinished longest
 MOST_HEAD, MOST_BODY = 4096, 4096
 READINESS, DOWN, UP = "/ops/readiness", "/ops/servers/down", "/ops/servers/up"
@@ -92,7 +93,7 @@
             peer=f"{self.peer[0]}:{self.peer[1]}",
             call=self.asked[:MOST_TOLD],
             status=status,
-            ms=(self.loop.now() - self.began) // 1_000_000,
+            ms=(self.loop.now() - self.began) // MS,
         )
 
     def shed(self) -> None:
@@ -157,6 +158,7 @@
         if len(ids) != 1:
             return Answer(400, "give one id, as in ?id=ID")
         out = split.path == DOWN
+        self.alarm(ACT_NS, "act")
         self.door.operations.set_out(ids[0].encode(), out, lambda known: self.post(Done(known)))
         while True:
             match (yield):
@@ -166,7 +168,7 @@
                     return Answer(200, f"{ids[0]} is {'taken out' if out else 'in use'}")
                 case Io():
                     self.stream.want(False)  # whatever else it sends is not asked for
-                case Timeout(tag="call"):
+                case Timeout(tag="act"):
                     return Answer(504, "acted on here, but no word from the process beside this one")
                 case Stop():
                     pass  # its answer is on the way
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -414,21 +414,40 @@
 
 
 class Acceptor:
-    """A listening socket that hands each connection on and outlives a want of descriptors."""
+    """A listening socket that hands each connection on and outlives a want of descriptors.
+
+    One that was given is shared with other processes: it is only watched, never bound, shut down or told to
+    listen anew.
+    """
 
     def __init__(
-        self, loop: Loop, address: Endpoint, take: Callable[[socket.socket, Endpoint], None]
+        self,
+        loop: Loop,
+        address: Endpoint,
+        take: Callable[[socket.socket, Endpoint], None],
+        given: socket.socket | None = None,
     ) -> None:
         self.loop, self.address, self.take = loop, address, take
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(address)
-        self.listener.listen(BACKLOG)
+        self.paused = False
+        if given is None:
+            self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.listener.bind(address)
+            self.listener.listen(BACKLOG)
+        else:
+            self.listener = given
         self.listener.setblocking(False)
         self.accept_again()
 
+    def pause(self, paused: bool) -> None:
+        """Leave what arrives to another process, or take it again."""
+        self.paused = paused
+        if paused and self.listener.fileno() >= 0:
+            self.loop.unwatch(self.listener.fileno())
+        self.accept_again()
+
     def accept_again(self) -> None:
-        if self.listener.fileno() >= 0:
+        if self.listener.fileno() >= 0 and not self.paused:
             self.loop.watch(self.listener.fileno(), select.EPOLLIN, self.accept)
 
     def accept(self, _mask: int) -> None:
@@ -451,6 +470,7 @@
 
     def close(self) -> None:
         if self.listener.fileno() >= 0:
+            # First: closing does not end epoll's interest in a socket that other processes hold too.
             self.loop.unwatch(self.listener.fileno())
             self.listener.close()
 
@@ -470,9 +490,15 @@
     def take(self, sock: socket.socket, peer: Endpoint) -> None:
         raise NotImplementedError
 
-    def listen(self, address: Endpoint) -> None:
+    def listen(self, address: Endpoint, given: socket.socket | None = None) -> None:
         if address != self.address:
-            self.follow(Acceptor(self.loop, address, self.take))
+            self.follow(Acceptor(self.loop, address, self.take, given))
+
+    def pause(self, paused: bool) -> None:
+        """Leave new connections to the process that takes this one's place, or take them again."""
+        self.leaving = paused
+        if self.acceptor is not None:
+            self.acceptor.pause(paused)
 
     def follow(self, acceptor: Acceptor) -> None:
         """Listen there from now on; what was accepted before goes on."""
--- a/linnetshift/net/stream.py
+++ b/linnetshift/net/stream.py
@@ -46,9 +46,10 @@
     ) -> None:
         self.loop, self.sock, self.ready = loop, sock, ready
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        for level, option, value in HALF_OPEN:
-            sock.setsockopt(level, option, value)
+        if sock.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for level, option, value in HALF_OPEN:
+                sock.setsockopt(level, option, value)
         self.fd = sock.fileno()
         self.buffer = bytearray(size)
         self.view = memoryview(self.buffer)
--- a/linnetshift/net/vrrp.py
+++ b/linnetshift/net/vrrp.py
@@ -149,19 +149,35 @@
 class Vrrp(Actor):
     """The router on its socket; `changed` hears whether this proxy is the active one."""
 
-    def __init__(self, loop: Loop, config: VrrpConfig, changed: Callable[[bool], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        config: VrrpConfig,
+        changed: Callable[[bool], None],
+        given: socket.socket | None = None,
+        active: bool = False,
+    ) -> None:
+        """With the socket of the process before, and as the active one if that was."""
         super().__init__(loop)
+        self.began_active, self.paused = active, False
         self.config, self.changed = config, changed
         self.router = Router(config, self.send, self.arm)
         self.before = self.router.state
         self.timer: Timer | None = None
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock = given or socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
-        self.sock.bind(config.listen)
-        loop.watch(self.sock.fileno(), select.EPOLLIN, lambda mask: self.post(Io(mask)))
+        if given is None:
+            self.sock.bind(config.listen)
+        loop.watch(self.sock.fileno(), select.EPOLLIN, self.ready)
+
+    def ready(self, mask: int) -> None:
+        self.post(Io(mask))
 
     def live(self) -> Script:
-        self.router.start()
+        if self.began_active:
+            self.router.become_active()
+        else:
+            self.router.start()
         while True:
             self.settle()
             match (yield):
@@ -178,10 +194,25 @@
             if State.ACTIVE in (before, self.before):
                 self.changed(self.before is State.ACTIVE)
 
+    def pause(self, paused: bool) -> None:
+        """Leave its part to the process that has taken it over, or take it up again; no peer hears of it."""
+        self.paused = paused
+        if not paused:
+            self.loop.watch(self.sock.fileno(), select.EPOLLIN, self.ready)
+            if self.router.state is State.ACTIVE:
+                self.router.advertise()
+            else:
+                self.router.become_backup(self.config.interval)
+            return
+        self.loop.unwatch(self.sock.fileno())
+        if self.timer is not None:
+            self.timer.cancel()
+
     def stop(self) -> None:
         """Shut down: an active router releases its part before it goes."""
-        self.router.stop()
-        self.loop.unwatch(self.sock.fileno())
+        if not self.paused:
+            self.router.stop()
+            self.loop.unwatch(self.sock.fileno())
         self.sock.close()
         self.script = None
 
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -224,6 +225,7 @@
     def __init__(self, process: subprocess.Popen[str], port: int, extra_port: int) -> None:
         self.process, self.port, self.extra_port = process, port, extra_port
         self.admin_port = 0
+        self.held: socket.socket | None = None
         self.listeners: list[Listener] = []
         self.directory: Directory
         self.config: Path
@@ -274,6 +276,13 @@
         conn = self.client(call.encode() + b" HTTP/1.1\r\nHost: x\r\n\r\n", self.admin_port)
         return int(conn.line().split()[1])
 
+    def becomes_ready(self) -> None:
+        """A process that takes over says yes only when it alone accepts."""
+        until = time.monotonic() + WAIT
+        while self.call("GET /ops/readiness") != 200:
+            assert time.monotonic() < until
+            time.sleep(0.01)
+
     def alive(self) -> bool:
         return self.client(b"PING\r\n").line() == b"PONG\r\n"
 
@@ -307,17 +316,46 @@
     own: str = "/dev/null",
     before: Callable[[], None] | None = None,
     stderr: int = subprocess.PIPE,
+    held: socket.socket | None = None,
+    **env: str,
 ) -> subprocess.Popen[str]:
+    """`held` is the platform's listening socket, which the program inherits."""
+    if held is not None:
+        env = {"GW_LISTEN_FD": str(held.fileno()), **env}
     return subprocess.Popen(
         [sys.executable, "-m", "linnetshift"],
         cwd=ROOT,
-        env={**os.environ, "GW_CONFIG": config, "LINNETSHIFT_BROKER": own},
+        env={
+            **os.environ,
+            "GW_CONFIG": config,
+            "LINNETSHIFT_BROKER": own,
+            "TMPDIR": str(Path(config).parent),
+            **env,
+        },
         stderr=stderr,
         text=True,
         preexec_fn=before,
+        pass_fds=[held.fileno()] if held is not None else [],
     )
 
 
+@contextmanager
+def beside(old: Proxy) -> Iterator[Proxy]:
+    """The program started again, with all that the old one has but the operators' address."""
+    admin = free_port()
+    env = {"GW_ADMIN_ADDR": f"127.0.0.1:{admin}"}
+    process = launch(str(old.config), str(old.config.parent / "broker.toml"), held=old.held, **env)
+    new = Proxy(process, old.port, old.extra_port)
+    new.listeners, new.directory, new.config, new.held = old.listeners, old.directory, old.config, old.held
+    new.admin_port = admin
+    try:
+        new.logged("event=started")
+        yield new
+    finally:
+        process.kill()
+        process.wait(WAIT)
+
+
 @contextmanager
 def proxy(
     folder: Path,
@@ -325,9 +363,13 @@
     own: str = "",
     before: Callable[[], None] | None = None,
     door: bool = False,
+    held: bool = False,
     **changes: Any,
 ) -> Iterator[Proxy]:
-    """`own` is the broker's own file; PORT in it is the proxy's `extra_port`. `door`: for operators."""
+    """`own` is the broker's own file; PORT in it is the proxy's `extra_port`.
+
+    `door`: operators may call; `held`: the clients' listening socket is the platform's.
+    """
     listeners = [Listener(f"s-{n}") for n in range(providers)]
     directory = Directory(listeners)
     port, extra, admin = free_port(), free_port(), free_port()
@@ -346,7 +388,9 @@
         )
     )
     own_file.write_text(own.replace("PORT", str(extra)))
-    running = Proxy(launch(str(config), str(own_file), before), port, extra)
+    listener = socket.create_server(("127.0.0.1", port), backlog=1024) if held else None
+    running = Proxy(launch(str(config), str(own_file), before, held=listener), port, extra)
+    running.held = listener
     running.listeners, running.directory, running.config = listeners, directory, config
     running.admin_port = admin
     try:
