Take up classes that come, go or change their rules, and refuse broken files whole

The trace shows reload-refused for every file: a class had lost its place (Names.lost), so the new classes' clients got ERR as unknown. Ruled out: the providers and the directory (no resets, no failures before the first refused file). Change: a class's number stands for its rules (Settings.following); attempts are a class's own; files are checked against the keys of the last good one; an added class without a message aim shares the shortest, where 0 would call every provider slow.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -26,13 +26,15 @@
 from linnetshift.net.directory import Directory, Roster, describe
 from linnetshift.net.handover import Inherited, Legacy, Place, Succession, meet, spent
 from linnetshift.net.limits import Strangers
-from linnetshift.net.loop import Loop
+from linnetshift.net.loop import Loop, S
 from linnetshift.net.module import Departure, Module, Mover
 from linnetshift.net.ops import Door
 from linnetshift.net.platform import Acceptor, Front, PlatformFront
 from linnetshift.net.provider import ProviderGate
 from linnetshift.net.vrrp import State, Vrrp
 
+DROPPED_NS = 30 * S  # how long a class that is dropped can still be asked for
+
 
 class Program:
     """All parts of one proxy, wired."""
@@ -47,7 +49,7 @@
     ) -> None:
         """`given` is the platform's listening socket, `legacy` what the process before handed over."""
         self.loop = loop = Loop()
-        self.names, self.own = config.names, own
+        self.config, self.names, self.own = config, config.names, own
         self.gate = ProviderGate(loop)
         inherited = Inherited(legacy, self.names)
         known = inherited.roster or config.known
@@ -212,7 +214,7 @@
         bound: list[tuple[Front, Acceptor]] = []
         door: Acceptor | None = None
         try:
-            config, own = read_files()
+            config, own = read_files(self.config)
             if own.vrrp != self.own.vrrp:
                 raise ConfigError("a change of [vrrp] needs a restart")
             if (name := self.names.lost(config.names)) is not None:
@@ -237,13 +239,19 @@
             self.door.follow(door)
         if own.channels is None and self.channels.address is not None:
             self.move_channels()
-        self.own = own
-        self.names.follow(config.names)
+        self.config, self.own = config, own
+        dropped = self.names.follow(config.names)
         self.broker.configure(config.settings, own.contracts)
+        self.loop.call_later(DROPPED_NS, lambda: self.names.forget(dropped, self.config.settings.numbers))
         if config.known.event.version > self.directory.version:
             self.listed(config.known)
         self.directory.relocate(config.directory)
-        log.note("reloaded", directory=f"{config.directory[0]}:{config.directory[1]}")
+        log.note(
+            "reloaded",
+            directory=f"{config.directory[0]}:{config.directory[1]}",
+            classes=",".join(klass.name for klass in config.settings.offered),
+            dropped=",".join(dropped),
+        )
 
     def depart(self, replaced: bool) -> None:
         self.front.leaving = True
@@ -257,9 +265,10 @@
         self.channels.leave()
 
 
-def read_files() -> tuple[Config, BrokerFile]:
-    config = read_config(os.environ.get("GW_CONFIG"))
-    return config, read_broker_file(os.environ.get("LINNETSHIFT_BROKER"), config.names)
+def read_files(former: Config | None = None) -> tuple[Config, BrokerFile]:
+    config = read_config(os.environ.get("GW_CONFIG"), former)
+    own = read_broker_file(os.environ.get("LINNETSHIFT_BROKER"), config.names, config.settings)
+    return config, own
 
 
 def main() -> int:
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -59,7 +59,7 @@
         """Also while running: what is known and under way stays."""
         self.settings = settings
         self.balancer.configure(settings)
-        self.gauge.configure(min(c.message_aim_ns for c in settings.classes), settings.balancers)
+        self.gauge.configure(min(c.message_aim_ns for c in settings.offered), settings.balancers)
         contracts.follow(self.contracts, Counter(i.tenant for i in self.invocations.values()))
         self.contracts = contracts
 
--- a/linnetshift/interface.py
+++ b/linnetshift/interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 from typing import Any, NamedTuple
 
@@ -81,6 +81,7 @@
     scope: Scope
     window_ns: int
     worth: float
+    max_attempts: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +93,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What a node is told once, at its start."""
+    """What a node is told at its start, and again when the settings change.
+
+    A class's number is its place in `classes` and stands for its rules for good: those that are no longer
+    offered keep theirs, for the requests that began with them.
+    """
 
     node: int
     balancers: int
     zone: int
     classes: tuple[RequestClass, ...]
+    numbers: tuple[int, ...]  # of the classes that are offered
     tenants: tuple[Tenant, ...]
     must_ask: bool
     must_ask_in_ns: int
@@ -108,7 +114,6 @@
     fall_multiple: float
     tip_after_ns: int
     connect_timeout_ns: int
-    max_attempts: int
     parallel_tries: bool
     may_probe: bool
     may_tell_peers: bool
@@ -127,13 +132,16 @@
         rules, allowed = _get(raw, "rules", dict), _get(raw, "allowed", dict)
         family = raw.get("familyInfo") or {}
         aims = family.get("messageAimNs") or []
+        shortest = int(min((_optional(aim, 0) for aim in aims), default=0))
         quotas = family.get("tenantQuotaConnections") or []
+        max_attempts = _positive(allowed, "maxAttempts", "allowed.")
         classes = tuple(
             RequestClass(
                 name=str(c.get("name", i)),
-                aim_ns=_get(c, "aimNs", int, f"services[{i}]."),
-                deadline_ns=_get(c, "hardLimitNs", int, f"services[{i}]."),
-                message_aim_ns=int(_optional(aims[i], 0)) if i < len(aims) else 0,
+                aim_ns=_positive(c, "aimNs", f"services[{i}]."),
+                deadline_ns=_positive(c, "hardLimitNs", f"services[{i}]."),
+                # One added without an aim of its own shares the shortest: at 0 every provider is slow.
+                message_aim_ns=int(_optional(aims[i], 0)) if i < len(aims) else shortest,
                 effect=_word(
                     c,
                     "effect",
@@ -145,9 +153,12 @@
                 else _bad(f"services[{i}].group"),
                 window_ns=int(_optional(c.get("windowNs"), 0)),
                 worth=_optional(c.get("worth"), 1.0),
+                max_attempts=max_attempts,
             )
             for i, c in enumerate(_get(raw, "services", list))
         )
+        if len({c.name for c in classes}) < len(classes):
+            raise SettingsError("settings key 'services' names a class twice")
         if not classes:
             raise SettingsError("settings key 'services' must name at least one class")
         tenants = tuple(
@@ -164,6 +175,7 @@
             balancers=max(1, _get(raw, "balancers", int)),
             zone=_get(raw, "zone", int),
             classes=classes,
+            numbers=tuple(range(len(classes))),
             tenants=tenants,
             must_ask=_word(raw, "discovery", {"push": False, "ask": True}),
             must_ask_in_ns=int(_optional(rules.get("mustAskInNs"), 10_000_000_000)),
@@ -173,8 +185,7 @@
             warm_up_ns=_get(rules, "warmUpNs", int, "rules."),
             fall_multiple=_get(rules, "fallMultiple", float, "rules."),
             tip_after_ns=_get(rules, "tipAfterNs", int, "rules."),
-            connect_timeout_ns=_get(allowed, "connectTimeoutNs", int, "allowed."),
-            max_attempts=_get(allowed, "maxAttempts", int, "allowed."),
+            connect_timeout_ns=_positive(allowed, "connectTimeoutNs", "allowed."),
             parallel_tries=_get(allowed, "parallelTries", bool, "allowed."),
             may_probe=_get(allowed, "probing", bool, "allowed."),
             may_tell_peers=_get(allowed, "peerMessages", bool, "allowed."),
@@ -190,6 +201,17 @@
             step_ns=int(_optional(raw.get("stepNs"), 0)),
         )
 
+    @property
+    def offered(self) -> list[RequestClass]:
+        return [self.classes[number] for number in self.numbers]
+
+    def following(self, former: Settings) -> Settings:
+        """With the numbers that classes had before; one whose rules are new gets a number of its own."""
+        classes = list(former.classes)
+        classes += [klass for klass in self.classes if klass not in classes]
+        numbers = tuple(classes.index(klass) for klass in self.classes)
+        return replace(self, classes=tuple(classes), numbers=numbers)
+
 
 def _bad(key: str) -> Any:
     raise SettingsError(f"settings key '{key}' has a value this version does not know")
@@ -206,6 +228,13 @@
     return value
 
 
+def _positive(raw: Mapping[str, Any], key: str, path: str) -> int:
+    value: int = _get(raw, key, int, path)
+    if value <= 0:
+        raise SettingsError(f"settings key '{path}{key}' must be above 0")
+    return value
+
+
 def _optional(value: Any, default: float) -> float:
     """A number that some sites leave out, or send as null."""
     return float(value) if isinstance(value, int | float) else default
--- a/linnetshift/net/config.py
+++ b/linnetshift/net/config.py
@@ -24,6 +24,9 @@
     """The configuration cannot be used; the text says why in one line."""
 
 
+Keys = dict[str, Any]  # with the keys below each, where it is an object
+
+
 class Config(NamedTuple):
     name: str
     listen: Endpoint
@@ -34,9 +37,23 @@
     names: Names
     sockets: int  # the platform's limit; 0 where it gives none
     admin: Endpoint | None  # where operators call, if they do
+    keys: Keys  # that the file has
+
+
+def keys_of(document: dict[str, Any]) -> Keys:
+    return {key: keys_of(below) if isinstance(below, dict) else {} for key, below in document.items()}
+
+
+def check_keys(document: Any, keys: Keys, path: str = "") -> None:
+    """A file that lacks what the one before had is a broken one, though it could be read."""
+    for key, below in keys.items():
+        if not isinstance(document, dict) or key not in document:
+            raise KeyError(path + key)
+        check_keys(document[key], below, f"{path}{key}.")
 
 
-def read_config(path: str | None) -> Config:
+def read_config(path: str | None, former: Config | None = None) -> Config:
+    """Raises ConfigError; with `former`, where the file lacks what that one had, and with its numbers."""
     if not path:
         raise ConfigError("GW_CONFIG does not name a configuration file")
     try:
@@ -50,17 +67,22 @@
         raise ConfigError(f"{path} holds no settings")
     admin = os.environ.get("GW_ADMIN_ADDR") or raw.get("admin_addr")
     try:
-        names = Names(raw["settings"])
+        check_keys(raw, former.keys if former is not None else {})
+        settings = api.Settings.parse(raw["settings"])
+        if former is not None:
+            settings = settings.following(former.settings)
+        names = Names(raw["settings"], settings)
         return Config(
             name=str(raw.get("name", "")),
             listen=parse_endpoint(str(raw["listen"])),
             directory=parse_endpoint(str(raw["discovery"])),
             seed=int(str(raw.get("seed", "0")), 16),
             known=read_list(raw.get("known", {"targets": []}), names, cached=True),
-            settings=api.Settings.parse(raw["settings"]),
+            settings=settings,
             names=names,
             sockets=int((raw.get("limits") or {}).get("sockets") or 0),
             admin=parse_endpoint(str(admin)) if admin else None,
+            keys=keys_of(raw),
         )
     except KeyError as error:
         raise ConfigError(f"{path}: key {error} is missing") from None
@@ -91,7 +113,7 @@
     contracts: Contracts = Contracts()
 
 
-def read_broker_file(path: str | None, names: Names) -> BrokerFile:
+def read_broker_file(path: str | None, names: Names, settings: api.Settings) -> BrokerFile:
     """`deploy/broker.toml`, or the file that the environment names instead."""
     place = Path(path) if path else OWN_FILE
     if not path and not place.exists():
@@ -107,7 +129,7 @@
         return BrokerFile(
             channels=parse_endpoint(str(channels["listen"])) if channels.get("enabled") else None,
             vrrp=read_vrrp(vrrp) if vrrp.get("enabled") else None,
-            contracts=read_contracts(raw.get("contract", []), names),
+            contracts=read_contracts(raw.get("contract", []), names, settings),
         )
     except KeyError as error:
         raise ConfigError(f"{place}: key {error} is missing") from None
@@ -132,17 +154,21 @@
     return config
 
 
-def read_contracts(raw: list[dict[str, Any]], names: Names) -> Contracts:
+def read_contracts(raw: list[dict[str, Any]], names: Names, settings: api.Settings) -> Contracts:
+    """Services go by name: whatever rules a class of that name has or had."""
+    numbers: dict[str, set[int]] = {}
+    for number, klass in enumerate(settings.classes):
+        numbers.setdefault(klass.name, set()).add(number)
     teams: dict[int, Contract] = {}
     for item in raw:
         team, services = str(item["team"]), item.get("services")
         for kind, name, known in [("team", team, names.tenants)] + [
-            ("service", str(service), names.classes) for service in services or []
+            ("service", str(service), numbers) for service in services or []
         ]:
             if name not in known:
                 raise ValueError(f"a contract names the unknown {kind} {name!r}")
         teams[names.tenants[team]] = Contract(
-            services=None if services is None else frozenset(names.classes[str(s)] for s in services),
+            services=None if services is None else frozenset().union(*(numbers[str(s)] for s in services)),
             rate=read_budget(item, "rate_per_s", "rate_burst"),
             retries=read_budget(item, "retries_per_s", "retries_burst"),
             concurrency=int(item["concurrency"]) if "concurrency" in item else None,
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -91,7 +91,7 @@
 
 
 def kill_after(settings: Settings) -> int:
-    return min(MOST_DEADLINE_NS, max(c.deadline_ns for c in settings.classes)) + KILL_NS
+    return min(MOST_DEADLINE_NS, max(c.deadline_ns for c in settings.offered)) + KILL_NS
 
 
 class Departure(Actor):
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -31,19 +31,19 @@
 
 
 class Names:
-    """Places of classes, tenants, zones and kinds in the settings' lists.
+    """Numbers of classes; places of tenants, zones and kinds in the settings' lists.
 
     A name that the settings do not know gets the place past the end, except for a class.
     """
 
-    def __init__(self, settings: dict[str, object]) -> None:
-        self.classes = self._places(settings.get("services"))
+    def __init__(self, settings: dict[str, object], known: api.Settings) -> None:
+        self.classes = {known.classes[number].name: number for number in known.numbers}
         self.tenants = self._places(settings.get("tenants"))
         self.zones = self._places(settings.get("zones"))
         self.kinds = self._places(settings.get("models"))
 
     def lists(self) -> tuple[dict[str, int], ...]:
-        return self.classes, self.tenants, self.zones, self.kinds
+        return self.tenants, self.zones, self.kinds
 
     def lost(self, later: Names) -> str | None:
         """A name that has another place or none in later settings, which what is under way refers to."""
@@ -53,9 +53,18 @@
                     return name
         return None
 
-    def follow(self, later: Names) -> None:
+    def follow(self, later: Names) -> dict[str, int]:
+        """The classes that are offered no more, which are still known: clients learn of it later."""
         for known, listed in zip(self.lists(), later.lists(), strict=True):
             known.update(listed)
+        dropped = {name: number for name, number in self.classes.items() if name not in later.classes}
+        self.classes = {**dropped, **later.classes}
+        return dropped
+
+    def forget(self, dropped: dict[str, int], offered: tuple[int, ...]) -> None:
+        for name, number in dropped.items():
+            if number not in offered and self.classes.get(name) == number:
+                del self.classes[name]
 
     @staticmethod
     def _places(listed: object) -> dict[str, int]:
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -177,7 +177,7 @@
         columns = settings.report_columns
         self.load_column = columns.index("x0") if settings.may_probe and "x0" in columns else -1
         self.held_column = columns.index("outstanding") if "outstanding" in columns else -1
-        self.tick_ns = min(c.aim_ns for c in settings.classes) // 8
+        self.tick_ns = min(c.aim_ns for c in settings.offered) // 8
 
     def step(self, now_ns: int, events: Sequence[api.Event]) -> list[api.Action]:
         self.now = max(self.now, now_ns)  # a clock that steps back must not revive past deadlines
@@ -470,7 +470,7 @@
             if item is not None:
                 item.load = event.value * 1e3
         elif event.kind == api.SLOW_NOTE:
-            value, aim = event.value * 1e6, min(c.message_aim_ns for c in self.settings.classes)
+            value, aim = event.value * 1e6, min(c.message_aim_ns for c in self.settings.offered)
             host.hot_until = self.now + NOTE_NS if value * 3 >= aim else 0
             one_in_all = self.random.random() * self.settings.balancers < 1.0
             if host.hot_until and self.settings.may_tell_peers and one_in_all:
@@ -552,10 +552,10 @@
         return mix64(request.group or request.key or request.request)
 
     def place(self, item: Pending) -> None:
-        request, settings = item.request, self.settings
+        request, klass = item.request, self.settings.classes[item.request.klass]
         left = item.deadline - self.now
-        once = item.unsure is not None and settings.classes[request.klass].effect == Effect.ONCE
-        if left <= 0 or item.attempt + 1 >= settings.max_attempts or once:
+        once = item.unsure is not None and klass.effect == Effect.ONCE
+        if left <= 0 or item.attempt + 1 >= klass.max_attempts or once:
             self.give_up(item)
             return
         mid_flow = bool(request.flags & api.MID_FLOW) and item.attempt < 0
@@ -627,9 +627,9 @@
         return plain or again
 
     def send(self, item: Pending, host: Host, left: int) -> None:
-        aim = self.settings.classes[item.request.klass].aim_ns
+        klass = self.settings.classes[item.request.klass]
         # Leave room for another try, unless what would be left is too short for one or all are slow.
-        another = left >= 2 * aim and item.attempt + 2 < self.settings.max_attempts and self.failing < JAMMED
+        another = left >= 2 * klass.aim_ns and item.attempt + 2 < klass.max_attempts and self.failing < JAMMED
         item.attempt += 1
         item.host = host
         item.tried.append(host)
@@ -639,7 +639,7 @@
         self.setting_up += 1
         if host.spell and self.now < host.avoid_until + 2 * host.spell:
             host.trial = item.request.request
-        self.out.append(api.Send(item.request.request, host.id, aim if another else left))
+        self.out.append(api.Send(item.request.request, host.id, klass.aim_ns if another else left))
 
     def effect_allows(self, item: Pending, host: Host) -> bool:
         """Whether one more attempt, there, can take effect at most once."""
