--- a/linnetshift/net/config.py
+++ b/linnetshift/net/config.py
@@ -68,14 +68,15 @@
     admin = os.environ.get("GW_ADMIN_ADDR") or raw.get("admin_addr")
     try:
         check_keys(raw, former.keys if former is not None else {})
+        listen, directory = parse_endpoint(str(raw["listen"])), parse_endpoint(str(raw["discovery"]))
         settings = api.Settings.parse(raw["settings"])
         if former is not None:
             settings = settings.following(former.settings)
         names = Names(raw["settings"], settings)
         return Config(
             name=str(raw.get("name", "")),
-            listen=parse_endpoint(str(raw["listen"])),
-            directory=parse_endpoint(str(raw["discovery"])),
+            listen=listen,
+            directory=directory,
             seed=int(str(raw.get("seed", "0")), 16),
             known=read_list(raw.get("known", {"targets": []}), names, cached=True),
             settings=settings,
