Leave what is taken out in time, use what is back at once, and fill cold providers by load

At fault: leave_hung took a share of what was left, so the last stayed long; on_list left a returned host to its cold share of the keys; cold_allows reckoned the fill by what this node holds, near nothing in a new process; reckoned took a cold provider for full-sized.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -60,10 +60,11 @@
         )
         self.module.start(self.module.live())
         self.directory.start(self.directory.live())
+        self.strangers = Strangers(loop, config.sockets)
         inherited.restore(self.broker)
+        self.holds_beside(inherited.state.get("holdings", {}))
         self.listed(known)
         inherited.remember(self.broker)
-        self.strangers = Strangers(loop, config.sockets)
         self.front = PlatformFront(loop, self.broker, self.names, self.strangers)
         self.given = given
         self.front.listen(config.listen, given)
@@ -132,6 +133,7 @@
             "list": {"rev": self.directory.version, "all": True, "targets": targets},
             "bans": bans.state(),
             "budgets": spent(self.own.contracts, self.names),
+            "holdings": self.holdings(),
             "memory": recall(self.broker.balancer, self.broker.gauge),
             "active": self.vrrp is not None and self.vrrp.router.state is State.ACTIVE,
             "passed": list(passing),
@@ -166,6 +168,7 @@
             provider.encode(): [Standing(load, group, 0) for load, group in held]
             for provider, held in holdings.get("loads", {}).items()
         }
+        self.broker.balancer.elsewhere = sum(map(len, self.broker.gauge.elsewhere.values()))
 
     # ---- what happens to the program --------------------------------------------------------
 
--- a/linnetshift/core/bans.py
+++ b/linnetshift/core/bans.py
@@ -11,6 +11,7 @@
 
 from linnetshift.interface import HostEntry, HostList, HostState, ListForm
 
+LEAVE_NS = 1_700_000_000  # operators restart what they took out some 2 s after the call
 MOST_KNOWN = 4096  # machines are replaced under new names: without a bound, the gone ones would pile up
 
 
@@ -45,6 +46,8 @@
             entry = entry._replace(started_ns=called)
         if entry.host in self.since and entry.state == HostState.READY:
             entry = entry._replace(state=HostState.DRAINING)
+        if entry.host in self.since:
+            entry = entry._replace(leave_ns=LEAVE_NS)
         return entry
 
     def trim(self) -> None:
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from statistics import fmean, median
 from typing import NamedTuple
 
@@ -39,6 +39,9 @@
 class MessageGauge:
     def __init__(self) -> None:
         self.slow_ns, self.proxies = 0, 1
+        self.warmth: Callable[[bytes], float] = lambda _: (
+            1.0
+        )  # what share of its capacity a provider has by now
         self.weights: dict[bytes, float] = {}
         self.samples: dict[bytes, deque[tuple[int, int]]] = {}
         self.nearest: dict[int, int] = {}  # the shortest time seen for each far zone: the way there and back
@@ -108,5 +111,5 @@
         held = held + self.elsewhere.get(provider, [])
         asked = sum(usual if one.load is None else one.load for one in held) * self.proxies
         asked += GROUP_COST * usual * len({one.group for one in held})
-        fullness = min(asked / (weight * 1e6), FULLEST)
+        fullness = min(asked / (weight * self.warmth(provider) * 1e6), FULLEST)
         return MESSAGE_NS * CORES / weight / (1.0 - fullness)
--- a/linnetshift/interface.py
+++ b/linnetshift/interface.py
@@ -258,6 +258,7 @@
     state: int
     weight: float
     started_ns: int
+    leave_ns: int = 0  # while it drains: how soon its connections must be gone, where that is known
 
 
 class HostList(NamedTuple):
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -47,6 +47,7 @@
 SILENT = b"s"  # opens a message to peers: this host did not let a connection come to stand
 HOT = b"h"  # the same for a host whose messages are slow
 HUNG_SHARE = 0.05  # of this node's connections there, moved at each tick
+LEAVE_NS, LAST_TICKS = 4_000_000_000, 12  # to leave one that drains; its last moves go to any other host
 # So many hosts of one zone or cell down at once, more than are seen to work there, mean the whole of it.
 TOGETHER = 3
 # The window: set-ups this node may have out. Swift ones (half the aim) widen it. Slow or failed ones, once
@@ -94,6 +95,7 @@
     state: int = HostState.READY
     weight: float = 1.0
     started: int = 0
+    leave_ns: int = 0  # how soon after word that it drains it may stop, where that is known
     told: int = 0  # when this node learned that it drains or is gone
     open: int = 0  # this node's attempts and connections there
     standing: dict[int, Pending] = field(default_factory=dict)  # the connections among them
@@ -114,10 +116,11 @@
     good_at: int = 0  # when a connection last came to stand there
     faults: int = 0  # errors in a row to requests that another host served
     trial: int = -1  # the request that tries a host on probation
+    owed: bool = False  # it is back, and the next connection goes there: by the keys alone none may for long
 
     def update(self, entry: api.HostEntry) -> None:
         self.zone, self.cell = entry.zone, entry.cell
-        self.state, self.started = entry.state, entry.started_ns
+        self.state, self.started, self.leave_ns = entry.state, entry.started_ns, entry.leave_ns
         self.weight = entry.weight if 0.0 < entry.weight < 1e9 else 1.0  # NaN and absurd figures count as 1
 
 
@@ -128,6 +131,7 @@
     request: api.Request | api.Adopted
     deadline: int
     load: float  # ns of work a second; 0 when unknown
+    klass: api.RequestClass  # the rules it began with
     attempt: int = -1  # number of the latest attempt
     host: Host | None = None  # where the latest attempt went, while it is out
     standing: bool = False
@@ -153,6 +157,8 @@
         self.load_each = 0.0  # load of one connection, by the hosts' reports
         self.arrivals = 0.0  # requests in about the last second
         self.arrivals_at = 0
+        self.elsewhere = 0  # connections that this node's former process still holds
+        self.each_fill = 0.0  # connections that fill a host of weight 1, a standard core, by the loads told
         self.standing = 0  # connections through this node when the ranking was last made
         self.rate = 0.0  # new connections that came to stand through this node, a second
         self.rate_at = 0
@@ -173,7 +179,7 @@
 
     def configure(self, settings: api.Settings) -> None:
         """Also while running, when classes may be added but keep their places; what is known stays."""
-        self.settings, self.ranked = settings, None
+        self.settings, self.rules, self.ranked = settings, settings.classes, None
         columns = settings.report_columns
         self.load_column = columns.index("x0") if settings.may_probe and "x0" in columns else -1
         self.held_column = columns.index("outstanding") if "outstanding" in columns else -1
@@ -229,6 +235,7 @@
                 self.seed_tokens(known)
                 continue
             was = known.state
+            known.owed = known.owed or (entry.state == HostState.READY and was != HostState.READY)
             if entry.started_ns != known.started:
                 self.seed_tokens(known)  # and what was held against it ended with the old process
                 known.hot_until = known.late_until = known.avoid_until = known.spell = 0
@@ -258,14 +265,16 @@
     def on_list_failed(self) -> None:
         """Ask again after a back-off, jittered so that nodes refused together do not return together."""
         self.ask_failures = min(self.ask_failures + 1, 5)
-        base = self.settings.must_ask_in_ns // 40 << self.ask_failures
-        wait = min(base, self.settings.must_ask_in_ns) * self.random.uniform(0.5, 1.0)
+        longest = self.settings.must_ask_in_ns
+        wait = min(longest // 40 << self.ask_failures, longest) * self.random.uniform(0.5, 1.0)
         self.ask_token = (self.ask_token + 1) & 0xFFFF
         self.out.append(api.SetTimer(int(wait), self.ask_token))
 
     def on_timer(self, token: int) -> None:
         if token == TICK_TOKEN:
-            self.on_tick()
+            self.ticking = False
+            self.leave_hung()
+            self.retry_held()
         elif token == self.ask_token:
             self.out.append(api.Watch(True))
 
@@ -281,29 +290,27 @@
 
     def seed_tokens(self, host: Host) -> None:
         """Nodes start at random levels, else all would send their first connection at the same moment."""
-        host.tokens, host.token_at = self.random.random(), self.now
+        host.tokens, host.token_at = 1.0 if host.owed else self.random.random(), self.now
 
     def cold_allows(self, host: Host) -> bool:
         """This node's part of rule 4's budget, as if every balancer sent as much.
 
         Warm-up weights alone do not hold it when a wave of clients returns at once.
         """
-        warmth = self.warmth(host)
+        warmth, settings = self.warmth(host), self.settings
         if warmth >= 1.0:
             return True
         _, _, _, total = self.candidates()
-        decay = (self.now - self.rate_at) / RATE_NS
-        share = self.rate * max(0.0, 1.0 - decay) * host.weight / total
-        fill = self.standing * host.weight / total * 1e9 / self.settings.warm_up_ns
-        refill = max(share, fill) * warmth * self.settings.fall_multiple * COLD_SAFETY
+        share = self.rate * max(0.0, 1.0 - (self.now - self.rate_at) / RATE_NS) / total
+        fill = max(self.standing / total, self.each_fill / settings.balancers) * 1e9 / settings.warm_up_ns
+        refill = max(share, fill) * host.weight * warmth * settings.fall_multiple * COLD_SAFETY
         host.tokens = min(1.0, host.tokens + refill * (self.now - host.token_at) / 1e9)
         host.token_at = self.now
         return host.tokens >= 1.0
 
     def count_established(self, flags: int) -> None:
         """Only first arrivals count: a returning wave or a storm of retries says nothing of capacity."""
-        passed = self.now - self.rate_at
-        self.rate *= max(0.0, 1.0 - passed / RATE_NS)
+        self.rate *= max(0.0, 1.0 - (self.now - self.rate_at) / RATE_NS)
         self.rate_at = self.now
         if not flags & (api.MID_FLOW | api.RETURNED | api.RETRY):
             self.rate += 1e9 / RATE_NS
@@ -315,7 +322,9 @@
             warmth = [int(self.warmth(h) * WARM_STEPS) / WARM_STEPS or 1 / WARM_STEPS for h in listed]
             weights = [h.weight * w for h, w in zip(listed, warmth, strict=True)]
             self.ranked = listed, hashes, 1.0 / np.array(weights, dtype=np.float64), sum(weights)
-            self.standing = sum(len(h.standing) for h in self.hosts.values())
+            self.standing = self.elsewhere + sum(len(h.standing) for h in self.hosts.values())
+            loads = [item.load for h in self.hosts.values() for item in h.standing.values() if item.load]
+            self.each_fill = 1e9 * len(loads) / sum(loads) if loads else self.each_fill
             step = self.settings.warm_up_ns // (2 * WARM_STEPS)
             self.ranked_until = self.now + step if min(warmth, default=1.0) < 1.0 else MASK
         return self.ranked
@@ -398,12 +407,11 @@
         if self.now < host.avoid_until:
             host.overload = host.overload and overload
             return  # the same blow, seen by more requests
-        host.overload = overload
+        host.overload, host.struck_at = overload, self.now
         shortest, longest = 4 * self.settings.connect_timeout_ns, self.settings.warm_up_ns
         recent = self.now < host.avoid_until + 2 * host.spell
         host.spell = min(host.spell * 2, longest) if host.spell and recent else shortest
         host.avoid_until = self.now + int(host.spell * self.random.uniform(0.75, 1.25))
-        host.struck_at = self.now
         self.strike_together([h for h in self.hosts.values() if h.zone == host.zone], host)
         self.strike_together([h for h in self.hosts.values() if h.cell == host.cell], host)
 
@@ -436,11 +444,11 @@
 
     def leave_hung(self) -> None:
         for host in list(self.hung.values()):
-            count = int(len(host.standing) * HUNG_SHARE + self.random.random())
             ready = host.state == HostState.READY
+            left = max(1, (host.told + (host.leave_ns or LEAVE_NS) - self.now) // self.tick_ns)
+            count = int(len(host.standing) * (HUNG_SHARE if ready else 1.0 / left) + self.random.random())
             for item in list(host.standing.values())[:count]:
-                other = self.better_host(item, host, leaving=not ready)
-                if other is not None:
+                if (other := self.better_host(item, host, not ready and left <= LAST_TICKS)) is not None:
                     if self.warmth(other) < 1.0:
                         other.tokens -= 1.0  # the client is back only later: more must not be sent meanwhile
                     self.move(item, host)
@@ -466,8 +474,7 @@
         if host is None or not 0.0 <= event.value < 1e9:
             return
         if event.kind == api.LOAD_NOTE:
-            item = self.pending.get(event.request)
-            if item is not None:
+            if (item := self.pending.get(event.request)) is not None:
                 item.load = event.value * 1e3
         elif event.kind == api.SLOW_NOTE:
             value, aim = event.value * 1e6, min(c.message_aim_ns for c in self.settings.offered)
@@ -525,8 +532,7 @@
     def better_host(self, item: Pending, host: Host, leaving: bool = False) -> Host | None:
         """Never from one bad host to another, unless it is leaving; nor to one that may not take it yet."""
         for other in self.ranking(self.key_hash(item.request)):
-            fine = leaving or not self.passed_over(other)
-            if other is not host and fine and self.may_send(other, False):
+            if other is not host and (leaving or not self.passed_over(other)) and self.may_send(other, False):
                 return other
         return None
 
@@ -535,8 +541,8 @@
     def on_request(self, event: api.Request) -> None:
         if event.request in self.pending:
             return
-        wait = event.budget_ns or self.settings.classes[event.klass].deadline_ns
-        item = self.pending[event.request] = Pending(event, self.now + wait, event.load_hint)
+        item = self.pending[event.request] = Pending(event, 0, event.load_hint, self.rules[event.klass])
+        item.deadline = self.now + (event.budget_ns or item.klass.deadline_ns)
         if not event.flags & (api.RETRY | api.RETURNED):
             self.probe_credit = min(self.probe_credit, PROBES_EACH * 4) + PROBES_EACH
         past = (self.now - self.arrivals_at) / 1e9
@@ -552,7 +558,7 @@
         return mix64(request.group or request.key or request.request)
 
     def place(self, item: Pending) -> None:
-        request, klass = item.request, self.settings.classes[item.request.klass]
+        request, klass = item.request, item.klass
         left = item.deadline - self.now
         once = item.unsure is not None and klass.effect == Effect.ONCE
         if left <= 0 or item.attempt + 1 >= klass.max_attempts or once:
@@ -581,16 +587,10 @@
             self.ticking = True
             self.out.append(api.SetTimer(self.tick_ns, TICK_TOKEN))
 
-    def on_tick(self) -> None:
-        self.ticking = False
-        self.leave_hung()
-        self.retry_held()
-
     def retry_held(self) -> None:
         waiting, self.held = self.held, deque()
         for request in waiting:
-            item = self.pending.get(request)
-            if item is not None and item.host is None:
+            if (item := self.pending.get(request)) is not None and item.host is None:
                 self.place(item)
 
     def count_setup(self, aim_ns: int, elapsed_ns: int, failed: bool) -> None:
@@ -610,7 +610,8 @@
         """The key's best host that nothing speaks against; if all are bad, the plain ranking."""
         plain: Host | None = None  # suspect, but not known to be overloaded
         again: Host | None = None
-        for host in self.ranking(self.key_hash(item.request)):
+        back = [h for h in self.hosts.values() if h.owed and not mid_flow]
+        for host in (*back, *self.ranking(self.key_hash(item.request))):
             if not self.may_send(host, mid_flow) or not self.effect_allows(item, host):
                 continue
             if mid_flow:
@@ -627,24 +628,24 @@
         return plain or again
 
     def send(self, item: Pending, host: Host, left: int) -> None:
-        klass = self.settings.classes[item.request.klass]
         # Leave room for another try, unless what would be left is too short for one or all are slow.
-        another = left >= 2 * klass.aim_ns and item.attempt + 2 < klass.max_attempts and self.failing < JAMMED
+        another = item.attempt + 2 < item.klass.max_attempts and self.failing < JAMMED
+        within = item.klass.aim_ns if another and left >= 2 * item.klass.aim_ns else left
         item.attempt += 1
         item.host = host
         item.tried.append(host)
         host.open += 1
+        host.owed = False
         host.tokens -= 1.0
         host.sends += 1
         self.setting_up += 1
         if host.spell and self.now < host.avoid_until + 2 * host.spell:
             host.trial = item.request.request
-        self.out.append(api.Send(item.request.request, host.id, klass.aim_ns if another else left))
+        self.out.append(api.Send(item.request.request, host.id, within))
 
     def effect_allows(self, item: Pending, host: Host) -> bool:
         """Whether one more attempt, there, can take effect at most once."""
-        klass = self.settings.classes[item.request.klass]
-        first = item.unsure
+        klass, first = item.klass, item.unsure
         if first is None or klass.effect == Effect.REPEATABLE:
             return True
         if klass.effect == Effect.ONCE or self.now >= item.window:
@@ -654,9 +655,8 @@
         return host.zone == first.zone if klass.scope == Scope.ZONE else host.cell == first.cell
 
     def give_up(self, item: Pending) -> None:
-        klass = self.settings.classes[item.request.klass]
-        keyed = klass.effect == Effect.KEYED and klass.scope == Scope.ALL
-        harmless = item.unsure is None or klass.effect == Effect.REPEATABLE or keyed
+        keyed = item.klass.effect == Effect.KEYED and item.klass.scope == Scope.ALL
+        harmless = item.unsure is None or item.klass.effect == Effect.REPEATABLE or keyed
         self.finish(item)
         if harmless and item.deadline > self.now:
             self.out.append(api.Refuse(item.request.request, self.settings.max_retry_after_ns))
@@ -680,7 +680,7 @@
         host = self.hosts.get(event.host)
         if host is None or event.request in self.pending:
             return
-        item = self.pending[event.request] = Pending(event, 0, event.load_hint)
+        item = self.pending[event.request] = Pending(event, 0, event.load_hint, self.rules[event.klass])
         item.attempt, item.host, item.standing = 0, host, True
         host.standing[event.request] = item
         host.open += 1
@@ -701,7 +701,7 @@
             if other.faults >= ERRORS_TOLD:
                 self.strike(other, overload=False)
         self.setting_up -= 1
-        self.count_setup(self.settings.classes[item.request.klass].aim_ns, event.elapsed_ns, False)
+        self.count_setup(item.klass.aim_ns, event.elapsed_ns, False)
         self.count_established(item.request.flags)
 
     def on_ended(self, event: api.AttemptEnded) -> None:
@@ -719,7 +719,7 @@
                 self.on_silence(host)
         failed = event.outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.FULL, Outcome.RESET)
         if failed and not item.standing:
-            self.count_setup(self.settings.classes[item.request.klass].aim_ns, event.elapsed_ns, True)
+            self.count_setup(item.klass.aim_ns, event.elapsed_ns, True)
         if event.closed or item.standing:
             self.pending.pop(event.request)
             return
@@ -731,8 +731,7 @@
             return
         if event.outcome not in api.NEVER_RAN and item.unsure is None:
             item.unsure = host
-            sent = self.now - event.elapsed_ns
-            item.window = sent + self.settings.classes[item.request.klass].window_ns
+            item.window = self.now - event.elapsed_ns + item.klass.window_ns
         self.place(item)
 
     def on_withdrawn(self, request: int) -> None:
--- a/linnetshift/wire.py
+++ b/linnetshift/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from itertools import starmap
 from struct import Struct
 from typing import NamedTuple
 
@@ -135,7 +136,7 @@
             form, version, n = _LIST.unpack_from(frame, at)
             at += _LIST.size
             rows = _take(frame, at, n * _ENTRY.size)
-            event = api.HostList(form, version, tuple(map(api.HostEntry._make, _ENTRY.iter_unpack(rows))))
+            event = api.HostList(form, version, tuple(starmap(api.HostEntry, _ENTRY.iter_unpack(rows))))
             at += n * _ENTRY.size
         elif code == 10:
             rid, _budget, hint, key, flags, group, host, tenant, klass = _ADOPTED.unpack_from(frame, at)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -6,6 +6,7 @@
 from conftest import MS, S, balancer, effect, entry, host, listed, only, raw_settings, request
 
 from linnetshift import interface as api
+from linnetshift.core.bans import LEAVE_NS
 from linnetshift.net.module import kill_after
 from linnetshift.policy import TICK_TOKEN, Balancer
 
@@ -39,6 +40,25 @@
     assert sum(paced) == STANDING and max(paced) <= STANDING // 8
 
 
+def test_all_are_gone_before_one_that_was_taken_out_stops() -> None:
+    # A share of what was left, at each tick, left the last ones to be cut off two seconds later.
+    node = full_host()
+    out = entry(0, state=api.HostState.DRAINING, leave_ns=LEAVE_NS)
+    node.step(1 * S, [listed(out, form=api.ListForm.DELTA)])
+    paced = moves(node, int(LEAVE_NS / (50 * MS)) + 1)
+    assert sum(paced) == STANDING and max(paced) <= 4
+
+
+def test_the_next_connection_goes_to_a_host_that_is_back() -> None:
+    # By its cold share of the keys alone it could stay unused for long.
+    node = balancer(hosts=8, window=1e9)
+    node.step(1 * S, [listed(entry(3, state=api.HostState.DRAINING), form=api.ListForm.DELTA)])
+    node.step(2 * S, [listed(entry(3, started_ns=2 * S), form=api.ListForm.DELTA)])
+    sends = [only(node.step(2 * S, [request(n)]), api.Send)[0].host for n in range(6)]
+    assert sends[0] == host(3)  # one only: the next ones go by their keys, and it is cold
+    assert host(3) not in sends[1:]
+
+
 def test_a_cold_target_sets_the_pace() -> None:
     # A wave of moved clients at a host that has just started would push it over.
     warm, cold = full_host(), full_host(started_ns=1 * S)
