Shed strangers who were told or are silent before those whose line comes in pieces

Logged with their bytes: 1,832 strangers asked PING and stayed, 902 sent nothing or a part; the three real ones sent a piece every 50 to 100 ms and were shed after 0.5 s as the longest waiting. Ruled out: the 2.5 s limit on a first line (none of the three reached it), memory (28 of 40 MB), a want of descriptors for providers (none unreachable). At fault: Strangers.make_room took the oldest, whoever it was.

--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -297,7 +297,10 @@
             self.stream.flush()
             self.give_turns()
         if mask & ~select.EPOLLOUT:
+            held = self.stream.stop - self.stream.start
             end = self.stream.fill()
+            if self.stream.stop > held:
+                self.front.strangers.talks(self)
             self.beats = 0
             if end is not None:
                 self.reason = Reason.CONSUMER_RESET if end is End.RESET else Reason.CONSUMER_LEFT
--- a/linnetshift/net/limits.py
+++ b/linnetshift/net/limits.py
@@ -12,7 +12,7 @@
 from linnetshift.net.loop import MS, Loop
 
 # A first line comes with its connection; who owes it for longer is answered and closed, within 3 s in all.
-OPENER_NS = 2500 * MS
+OPENER_NS = 2800 * MS
 # What is still sent after an answer is read and let go, since a close with bytes unread resets the answer
 # away; 60 MB may be on their way, and the close is promised within 6 s.
 DRAIN_NS = 5500 * MS
@@ -29,29 +29,50 @@
 
 
 class Strangers:
-    """Those of both fronts, the one that has been waiting longest first."""
+    """Those of both fronts, in the order in which they go when descriptors run short.
+
+    Consumers on slow lines may take over 2 s for their first line. In a flood they are the oldest of all, but
+    unlike the rest they go on talking.
+    """
 
     def __init__(self, loop: Loop, sockets: int) -> None:
         self.loop = loop
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         known = [limit for limit in (sockets, soft) if limit > 0]  # no limit is told as 0 or -1
         self.most = min(known) - max(LEAST_SPARE, min(known) // SPARE_PART) if known else 1 << 30
-        self.waiting: dict[Stranger, None] = {}
+        self.told: dict[Stranger, None] = {}  # they asked, were answered, and stay
+        self.quiet: dict[Stranger, None] = {}  # the longest quiet first
+        self.talking: dict[Stranger, None] = {}  # their line comes in pieces
         self.beside = 0  # descriptors that another process of this proxy holds meanwhile
         loop.make_room = self.make_room
 
     def add(self, stranger: Stranger) -> None:
         """A usual consumer's line is there at once, so that under pressure it is never the one to go."""
-        self.waiting[stranger] = None
-        while self.loop.streams + self.beside > self.most and len(self.waiting) > 1 and self.make_room():
+        self.quiet[stranger] = None
+        while self.loop.streams + self.beside > self.most and self.count() > 1 and self.make_room():
             pass
 
+    def count(self) -> int:
+        return len(self.told) + len(self.quiet) + len(self.talking)
+
+    def answered(self, stranger: Stranger) -> None:
+        """What it asked it has been told; it may go at any time."""
+        self.remove(stranger)
+        self.told[stranger] = None
+
+    def talks(self, stranger: Stranger) -> None:
+        """More of its line came after a pause."""
+        if stranger in self.quiet or stranger in self.talking:
+            self.remove(stranger)
+            self.talking[stranger] = None
+
     def remove(self, stranger: Stranger) -> None:
-        self.waiting.pop(stranger, None)
+        for group in (self.told, self.quiet, self.talking):
+            group.pop(stranger, None)
 
     def make_room(self) -> bool:
-        """End the one that has been waiting longest; whether there was one."""
-        stranger = next(iter(self.waiting), None)
+        """End the one that can best be missed; whether there was one."""
+        stranger = next((one for group in (self.told, self.quiet, self.talking) for one in group), None)
         if stranger is None:
             return False
         self.remove(stranger)
--- a/linnetshift/net/log.py
+++ b/linnetshift/net/log.py
@@ -27,7 +27,7 @@
     WITHDRAWN = "withdrawn"  # the consumer left before the answer
     BAD_LINE = "bad-line"
     SLOW_OPENER = "slow-opener"
-    SHED = "shed"  # the longest silent stranger, for want of descriptors
+    SHED = "shed"  # a stranger, for want of descriptors
     PROBED = "probed"  # a front asked whether this proxy is ready
     ANSWERED = "answered"  # an operator's call
     EMPTY = "empty"  # ended without a line
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -280,6 +280,7 @@
                         timer.cancel()
                         return None
                     self.stream.send(self.front.readiness(bytes(line[:6])))
+                    self.front.strangers.answered(self)
                     asked = True
             except (BadLine, LineTooLong) as error:
                 return self.bad_line(str(error))
@@ -291,8 +292,10 @@
                 case Io(mask):
                     if mask & select.EPOLLOUT:
                         self.stream.flush()
-                    arrived = self.loop.since
+                    arrived, held = self.loop.since, self.stream.stop - self.stream.start
                     end = self.stream.fill()
+                    if self.stream.stop > held:
+                        self.front.strangers.talks(self)
                 case Stop():
                     return Reason.SHED
                 case Timeout(tag="opener"):
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import pytest
-from proxy import OPEN, WAIT, Proxy, launch, proxy
+from proxy import OPEN, WAIT, Proxy, Terminal, launch, proxy
 from test_platform import answer
 
 CHANNELS = '[channels]\nenabled = true\nlisten = "127.0.0.1:PORT"\n'
@@ -141,6 +141,38 @@
         assert standing.line() == b"on\r\n"
 
 
+@pytest.mark.parametrize(
+    "front, crowd, pieces",
+    [
+        ("platform", b"", [b"OPEN 9b1f03aa5c7e2d41 7f3a", b"9c21e0b4d655 c=fe", b"ed,t=acme,d=2000\r\n"]),
+        ("platform", b"PING\r\n", [b"", b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,t=acme\r\n"]),
+        ("channels", b"", [b"SSH-", b"2.0-", b"terminal\r\n"]),
+    ],
+)
+def test_a_slow_consumer_outlasts_the_crowd(
+    tmp_path: Path, front: str, crowd: bytes, pieces: list[bytes]
+) -> None:
+    # The longest waiting went first, which in a flood is whoever's line takes long.
+    with proxy(tmp_path, own=CHANNELS, before=few) as running:
+        slow = running.client(port=running.extra_port if front == "channels" else running.port)
+        for piece in pieces[:-1]:
+            slow.send(piece)
+            assert running.alive()
+            running.logged("reason=probed")  # a turn of its loop later: each piece has been read by itself
+        kept = [running.client(crowd) for _ in range(60)]
+        running.logged("reason=shed")
+        slow.send(pieces[-1])
+        if front == "channels":
+            terminal = Terminal.over(slow)
+            terminal.open(0)
+            running.listeners[0].serve()
+            terminal.confirmed(0)
+        else:
+            running.listeners[0].serve()
+            assert slow.line() == b"UP r1\r\n"
+        assert kept
+
+
 def test_without_descriptors_it_waits_and_lives(tmp_path: Path) -> None:
     # Accepting again at once would spin; dying would lose every connection that stands.
     with proxy(tmp_path, before=few) as running:
