Do not take the first loads told for everyone's, nor a proxy's consumers twice when it is away

A trace of the gauge: a restarted proxy with 3 of 10 loads told reckoned 1,867 ms at a provider that was fine, called it late, and the module then admitted fewer keys (review_admission) for 10 s. At fault: gauge.review took the mean of the few loads told, the heavy ones, for all; reckoned multiplied by the proxies also while the other was away.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -62,7 +62,9 @@
         self.directory.start(self.directory.live())
         self.strangers = Strangers(loop, config.sockets)
         inherited.restore(self.broker)
-        self.holds_beside(inherited.state.get("holdings", {}))
+        holdings = inherited.state.get("holdings", {})
+        self.moved_beside = int(holdings.get("moved", 0))  # by the other process, so far
+        self.holds_beside(holdings)
         self.listed(known)
         inherited.remember(self.broker)
         self.front = PlatformFront(loop, self.broker, self.names, self.strangers)
@@ -83,7 +85,7 @@
         self.departing = False  # by a signal
         self.door = Door(loop, self)
         if config.admin is not None:
-            self.door.follow(Acceptor(loop, config.admin, self.door.take))
+            self.door.follow(self.door.open(config.admin))
         self.succession = Succession(loop, self, place, legacy)
 
     def listed(self, roster: Roster) -> None:
@@ -160,7 +162,7 @@
             provider.decode(): [(one.load, one.group) for one in held]
             for provider, held in self.broker.loads().items()
         }
-        return {"streams": self.loop.streams, "loads": loads}
+        return {"streams": self.loop.streams, "loads": loads, "moved": self.broker.moved}
 
     def holds_beside(self, holdings: dict[str, Any]) -> None:
         self.strangers.beside = int(holdings.get("streams", 0))
@@ -168,6 +170,9 @@
             provider.encode(): [Standing(load, group, 0) for load, group in held]
             for provider, held in holdings.get("loads", {}).items()
         }
+        for _ in range(self.moved_beside, int(holdings.get("moved", 0))):
+            self.broker.gauge.guest(False, self.loop.now())  # it comes back here, and was this proxy's before
+        self.moved_beside = int(holdings.get("moved", 0))
         self.broker.balancer.elsewhere = sum(map(len, self.broker.gauge.elsewhere.values()))
 
     # ---- what happens to the program --------------------------------------------------------
@@ -185,7 +190,8 @@
         mover.start(mover.live())
 
     def held(self) -> int:
-        return len(self.front.consumers) + len(self.channels.sessions)
+        """Connections that are owed something: who says nothing must not keep a proxy that leaves."""
+        return len(self.front.consumers) + len(self.channels.sessions) - self.strangers.idle()
 
     def catch_signals(self) -> None:
         """Python's own handler runs between two instructions; the byte it leaves wakes the poll."""
@@ -223,7 +229,7 @@
             if (name := self.names.lost(config.names)) is not None:
                 raise ConfigError(f"{name!r} has lost its place in the settings; that needs a restart")
             if config.admin is not None and config.admin != self.door.address:
-                door = Acceptor(self.loop, config.admin, self.door.take)
+                door = self.door.open(config.admin)
             wanted = [(self.front, config.listen), (self.channels, own.channels)]
             for front, address in () if self.front.leaving else wanted:
                 if front is self.front and self.given is not None:
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -53,6 +53,7 @@
         self.starts: dict[bytes, int] = {}
         self.gauge = MessageGauge()
         self.gauge.warmth = self.warmth
+        self.moved = 0  # consumers told to move, ever
         self.bans = Bans(clock)
         self.configure(settings, contracts)
 
@@ -182,6 +183,8 @@
         """The provider serves: the final answer, and the start of the standing connection."""
         invocation, now = attempt.invocation, self.clock()
         attempt.standing = invocation.answered = True
+        if invocation.flags & api.RETURNED:
+            self.gauge.guest(True, now)
         if invocation.adopt:
             self.post(
                 api.Adopted(
@@ -210,6 +213,8 @@
             if attempt.standing:
                 if outcome == Outcome.RESET:
                     self.gauge.dropped(attempt.provider, self.clock())
+                if outcome != Outcome.OK:
+                    self.gauge.guest(False, self.clock())
                 invocation.consumer.provider_ended(outcome, reset)
         elif invocation.adopt:
             self.adopt_again(invocation, outcome)
@@ -287,7 +292,7 @@
             for attempt, link in held:
                 if attempt.verdict == Outcome.CANCELLED and (vanished or link.waiting_ns() > STALLED_NS):
                     attempt.verdict = Outcome.RESET
-                    attempt.invocation.consumer.move("silent")
+                    self.move(attempt.invocation.id, "silent")
 
     def review_messages(self) -> None:
         """Once a second: note the providers whose messages are slow, each on one connection."""
@@ -363,6 +368,8 @@
     def move(self, request: int, reason: str) -> None:
         invocation = self.invocations.get(request)
         if invocation is not None and invocation.out is not None and invocation.out.standing:
+            self.gauge.guest(False, self.clock())
+            self.moved += 1
             invocation.consumer.move(reason)
 
     def forget(self, invocation: Invocation) -> None:
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -28,6 +28,13 @@
 SILENT_AS_NS = int(SHED_MS * 1e6)
 
 
+# Heavy connections are the first to tell their load. Before most have told, their mean says nothing of the
+# rest, which are taken as usual for this kind of provider: 11 to 21 fill a core.
+TYPICAL, MOSTLY_TOLD = 60_000.0, 0.75
+# For how long a consumer that came from another proxy tells of that proxy: about a connection's life.
+GUEST_NS = 30 * SECOND
+
+
 class Standing(NamedTuple):
     """One connection at a provider."""
 
@@ -45,6 +52,8 @@
         self.weights: dict[bytes, float] = {}
         self.samples: dict[bytes, deque[tuple[int, int]]] = {}
         self.nearest: dict[int, int] = {}  # the shortest time seen for each far zone: the way there and back
+        self.guests, self.guests_at = 0.0, 0  # consumers come from other proxies, less those gone to them
+        self.share = 1.0  # of all connections, the proxies' together, over one's own
         self.slow: set[bytes] = set()
         self.elsewhere: dict[bytes, list[Standing]] = {}  # what this proxy's other process holds
         self.shed_at: dict[bytes, int] = {}
@@ -56,6 +65,14 @@
         """It reset a connection that stood."""
         self.shed_at[provider] = now
 
+    def guest(self, came: bool, now: int) -> None:
+        """A consumer came back after a break, or was sent away and will come back somewhere.
+
+        Those that came and were not sent away here were another proxy's, which has so many fewer.
+        """
+        past = min(1.0, (now - self.guests_at) / GUEST_NS)
+        self.guests, self.guests_at = self.guests * (1.0 - past) + (1.0 if came else -1.0), now
+
     def restarted(self, provider: bytes) -> None:
         """What was known of the old process says nothing of the new one."""
         self.shed_at.pop(provider, None)
@@ -77,7 +94,12 @@
         self.shed_at = {provider: at for provider, at in self.shed_at.items() if now - at < SHED_NS}
         everyone = (*standing.values(), *self.elsewhere.values())
         told = [one.load for held in everyone for one in held if one.load is not None]
-        usual = fmean(told) if told else 0.0
+        usual, own = fmean(told) if told else 0.0, sum(map(len, everyone))
+        if len(told) < own * MOSTLY_TOLD:
+            usual = min(usual, TYPICAL)
+        # While another proxy is away its consumers are here: taken twice, every provider would look full.
+        here = 1.0 - self.guests * max(0.0, 1.0 - (now - self.guests_at) / GUEST_NS) / max(1, own)
+        self.share = min(max(1.0, self.proxies * here), float(self.proxies))
         notes = []
         for provider, held in standing.items():
             took = max(self.timed(provider, held, now), self.reckoned(provider, held, usual))
@@ -109,7 +131,7 @@
             return 0.0
         weight = self.weights.get(provider, 1.0)
         held = held + self.elsewhere.get(provider, [])
-        asked = sum(usual if one.load is None else one.load for one in held) * self.proxies
+        asked = sum(usual if one.load is None else one.load for one in held) * self.share
         asked += GROUP_COST * usual * len({one.group for one in held})
         fullness = min(asked / (weight * self.warmth(provider) * 1e6), FULLEST)
         return MESSAGE_NS * CORES / weight / (1.0 - fullness)
--- a/linnetshift/core/memory.py
+++ b/linnetshift/core/memory.py
@@ -42,6 +42,7 @@
         "hosts": {
             host.id.hex(): {key: getattr(host, key) for key in OF_HOST} for host in balancer.hosts.values()
         },
+        "guests": [gauge.guests, gauge.guests_at],
         "shed": {provider.hex(): at for provider, at in gauge.shed_at.items()},
     }
 
@@ -56,4 +57,5 @@
             kind = type(getattr(known, key))  # a figure of another kind is another version's
             if isinstance(told.get(key), kind):
                 setattr(known, key, told[key])
+    gauge.guests, gauge.guests_at = float(memory["guests"][0]), int(memory["guests"][1])
     gauge.shed_at.update({bytes.fromhex(name): int(at) for name, at in memory["shed"].items()})
--- a/linnetshift/net/handover.py
+++ b/linnetshift/net/handover.py
@@ -332,6 +332,8 @@
         """Where nobody can find it, the proxy serves all the same; its replacement starts from nothing."""
         if self.place is None:
             return
+        if self.meeting is not None:
+            self.meeting.close()  # another process has put its own in its place since
         try:
             self.meeting = Meeting(self.loop, self.place, self.take)
         except OSError as error:
@@ -385,5 +387,7 @@
             beside.ban(provider, out, one_more)
 
     def end(self) -> None:
+        for beside in self.besides:
+            beside.say("beat", **self.program.holdings())  # its last moves are in it
         if self.meeting is not None:
             self.meeting.close()
--- a/linnetshift/net/limits.py
+++ b/linnetshift/net/limits.py
@@ -53,7 +53,11 @@
             pass
 
     def count(self) -> int:
-        return len(self.told) + len(self.quiet) + len(self.talking)
+        return self.idle() + len(self.talking)
+
+    def idle(self) -> int:
+        """How many of them want nothing, as far as can be seen."""
+        return len(self.told) + len(self.quiet)
 
     def answered(self, stranger: Stranger) -> None:
         """What it asked it has been told; it may go at any time."""
--- a/linnetshift/net/ops.py
+++ b/linnetshift/net/ops.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import socket
 from collections.abc import Callable
@@ -27,6 +28,7 @@
 CALL_NS = 3 * S
 ACT_NS = 800 * MS  # a caller waits 1 s for what it asked
 MOST_CALLERS = 24  # at once; one more ends the one that has been unfinished longest
+RESERVED = 4  # descriptors that consumers cannot take
 MOST_HEAD, MOST_BODY = 4096, 4096
 READINESS, DOWN, UP = "/ops/readiness", "/ops/servers/down", "/ops/servers/up"
 METHODS = {READINESS: ("GET", "HEAD"), DOWN: ("PUT",), UP: ("PUT",)}
@@ -87,6 +89,7 @@
         self.report(Reason.FAULT, 500)
 
     def report(self, reason: Reason, status: int) -> None:
+        self.door.refill()
         log.ended(
             "operator",
             reason,
@@ -199,6 +202,26 @@
         self.loop, self.operations = loop, operations
         self.callers: dict[Caller, None] = {}  # those whose call is not finished, the oldest first
         self.acceptor: Acceptor | None = None
+        self.reserve: list[int] = []  # descriptors held for callers, whatever consumers take
+
+    def open(self, address: Endpoint) -> Acceptor:
+        return Acceptor(self.loop, address, self.take, make_room=self.make_room)
+
+    def make_room(self) -> bool:
+        """Strangers go first; where there are none, a caller gets a descriptor that was held for it."""
+        if self.loop.make_room():
+            return True
+        if not self.reserve:
+            return False
+        os.close(self.reserve.pop())
+        return True
+
+    def refill(self) -> None:
+        try:
+            while len(self.reserve) < RESERVED:
+                self.reserve.append(os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC))
+        except OSError:
+            pass  # the next caller's end fills it up
 
     @property
     def address(self) -> Endpoint | None:
@@ -209,6 +232,8 @@
         if self.acceptor is not None:
             self.acceptor.close()
         self.acceptor = acceptor
+        if acceptor is not None:
+            self.refill()
 
     def take(self, sock: socket.socket, peer: Endpoint) -> None:
         if len(self.callers) >= MOST_CALLERS:
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -438,8 +438,11 @@
         address: Endpoint,
         take: Callable[[socket.socket, Endpoint], None],
         given: socket.socket | None = None,
+        make_room: Callable[[], bool] | None = None,
     ) -> None:
+        """`make_room` is called for want of a descriptor, and says whether there may be one now."""
         self.loop, self.address, self.take = loop, address, take
+        self.make_room = make_room or loop.make_room
         self.paused = False
         if given is None:
             self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -469,7 +472,7 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE) and self.loop.make_room():
+                if error.errno in (errno.EMFILE, errno.ENFILE) and self.make_room():
                     continue
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     # The backlog stays readable: without a pause this would spin until some end.
--- a/tests/test_gauge.py
+++ b/tests/test_gauge.py
@@ -82,3 +82,28 @@
     assert not made.review(asking(80_000.0, 8), 1 * S)
     made.warmth = lambda _: 0.3
     assert made.review(asking(80_000.0, 8), 2 * S)
+
+
+@pytest.mark.parametrize(
+    "came, went, noted",
+    [
+        (0, 0, True),  # the other proxy holds as many
+        (8, 0, False),  # it is away: its consumers are the ones that came
+        (8, 8, True),  # they were sent away here before
+    ],
+)
+def test_consumers_of_a_proxy_that_is_away_are_not_taken_twice(came: int, went: int, noted: bool) -> None:
+    # With one of two proxies gone every provider looked full, and most keys were turned away for 10 s.
+    made = gauge(proxies=2)
+    for at, count in ((True, came), (False, went)):
+        for _ in range(count):
+            made.guest(at, 1 * S)
+    assert bool(made.review(asking(80_000.0, 8), 1 * S)) is noted
+
+
+def test_the_few_that_have_told_their_load_do_not_speak_for_the_rest() -> None:
+    # After a restart the first to tell were the heavy ones; every provider looked jammed.
+    made = gauge(weight=4.0)
+    heavy = [Standing(400_000.0, 1, 0)] * 2
+    assert not made.review({HERE: heavy + [Standing(None, 1, 0)] * 10}, 1 * S)
+    assert made.review({HERE: heavy * 6}, 1 * S)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,6 +8,7 @@
 from conftest import S, entry, host, listed
 from proxy import Conn, Proxy, proxy, settings
 from test_platform import ranked
+from test_strangers import few
 
 from linnetshift import interface as api
 from linnetshift.core.bans import Bans
@@ -48,6 +49,16 @@
         running.logged("side=operator reason=slow-opener")
 
 
+def test_callers_have_descriptors_of_their_own(tmp_path: Path) -> None:
+    # Consumers that wait for their answer are no strangers to shed, and could take every descriptor.
+    with proxy(tmp_path, door=True, before=few) as running:
+        crowd = [running.open(60_000) for _ in range(60)]
+        running.logged("event=accept-paused")
+        for _ in range(3):
+            assert running.call("GET /ops/readiness") == 200
+        assert crowd
+
+
 def test_not_ready_without_a_list_and_while_leaving(tmp_path: Path) -> None:
     with proxy(tmp_path, providers=0, door=True) as running:
         assert running.call("GET /ops/readiness") == 503
