Never send a request again to a provider that answered it with an error

With every other provider passed over, choose took the one that had erred as its last resort, and two errors fail a request. Ruled out: bad requests (each was served once it went elsewhere), the other providers (no error from any).

--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -617,7 +617,7 @@
             if mid_flow:
                 return host
             if host in item.tried:
-                again = again or host
+                again = again or (host if host not in item.erred else None)
             elif self.passed_over(host):
                 if self.now >= host.hot_until and not host.overload and host.trial < 0:
                     plain = plain or host
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -7,7 +7,7 @@
 
 from linnetshift import interface as api
 from linnetshift.interface import Outcome
-from linnetshift.policy import Balancer
+from linnetshift.policy import TICK_TOKEN, Balancer
 
 
 def test_full_and_failed_connects_go_to_the_next_rank() -> None:
@@ -366,3 +366,15 @@
     assert node.step(2 * S, [ended(second, 1, Outcome.ERROR)]) == [api.Fail(1)]
     (again,) = only(node.step(2 * S + MS, [request(2, key=1001)]), api.Send)
     assert again.host == first.host
+
+
+def test_an_error_is_not_asked_for_again_where_it_came_from() -> None:
+    # With the other hosts passed over, a request went back to the one that erred, and that failed it for good.
+    node = balancer(2)
+    (first,) = node.step(2 * S, [request(1)])
+    other = next(h for h in node.hosts.values() if h.id != first.host)
+    other.hot_until = 3 * S
+    assert not only(node.step(2 * S, [ended(first, 0, Outcome.ERROR)]), api.Send)
+    other.hot_until = 0
+    (second,) = only(node.step(2 * S + 50 * MS, [api.TimerFired(TICK_TOKEN)]), api.Send)
+    assert second.host == other.id
