--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -369,7 +369,7 @@
 
 
 def test_an_error_is_not_asked_for_again_where_it_came_from() -> None:
-    # With the other hosts passed over, a request went back to the one that erred, and that failed it for good.
+    # With the other hosts passed over, a request went back to the one that erred, which failed it for good.
     node = balancer(2)
     (first,) = node.step(2 * S, [request(1)])
     other = next(h for h in node.hosts.values() if h.id != first.host)
