--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -52,7 +52,6 @@
         self.zones: dict[bytes, int] = {}
         self.starts: dict[bytes, int] = {}
         self.gauge = MessageGauge()
-        self.gauge.warmth = self.warmth
         self.moved = 0  # consumers told to move, ever
         self.bans = Bans(clock)
         self.configure(settings, contracts)
@@ -301,11 +300,6 @@
             for provider, ms in self.gauge.review(self.loads(), self.clock()):
                 self.note(first[provider], api.SLOW_NOTE, ms)
 
-    def warmth(self, provider: bytes) -> float:
-        """By the module; one that it does not know has long been up."""
-        host = self.balancer.hosts.get(provider)
-        return 1.0 if host is None else self.balancer.warmth(host)
-
     def loads(self) -> dict[bytes, list[Standing]]:
         """What stands asks of each provider."""
         return {
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from statistics import fmean, median
 from typing import NamedTuple
 
@@ -28,9 +28,9 @@
 SILENT_AS_NS = int(SHED_MS * 1e6)
 
 
-# Heavy connections are the first to tell their load. Before most have told, their mean says nothing of the
+# Heavy connections are the first to tell their load. Before half have told, their mean says nothing of the
 # rest, which are taken as usual for this kind of provider: 11 to 21 fill a core.
-TYPICAL, MOSTLY_TOLD = 60_000.0, 0.75
+TYPICAL, MOSTLY_TOLD = 70_000.0, 0.5
 # For how long a consumer that came from another proxy tells of that proxy: about a connection's life.
 GUEST_NS = 30 * SECOND
 
@@ -46,9 +46,6 @@
 class MessageGauge:
     def __init__(self) -> None:
         self.slow_ns, self.proxies = 0, 1
-        self.warmth: Callable[[bytes], float] = lambda _: (
-            1.0
-        )  # what share of its capacity a provider has by now
         self.weights: dict[bytes, float] = {}
         self.samples: dict[bytes, deque[tuple[int, int]]] = {}
         self.nearest: dict[int, int] = {}  # the shortest time seen for each far zone: the way there and back
@@ -133,5 +130,5 @@
         held = held + self.elsewhere.get(provider, [])
         asked = sum(usual if one.load is None else one.load for one in held) * self.share
         asked += GROUP_COST * usual * len({one.group for one in held})
-        fullness = min(asked / (weight * self.warmth(provider) * 1e6), FULLEST)
+        fullness = min(asked / (weight * 1e6), FULLEST)
         return MESSAGE_NS * CORES / weight / (1.0 - fullness)
