--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -14,7 +14,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager, suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from itertools import count
@@ -301,6 +301,19 @@
     def leave(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
+    def resident_mib(self) -> float:
+        """Memory that the process holds."""
+        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+
+    def descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def cpu_s(self) -> float:
+        """Processor time that the process has used, its system calls included."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
 
 def free_port() -> int:
     with socket.create_server(("127.0.0.1", 0)) as sock:
@@ -317,20 +330,28 @@
     return base
 
 
+def uncollected() -> Sequence[str]:
+    """The program with its garbage collector off: only what counting references frees goes."""
+    start = "import gc, runpy; gc.disable(); runpy.run_module('linnetshift', run_name='__main__')"
+    return sys.executable, "-c", start
+
+
 def launch(
     config: str,
     own: str = "/dev/null",
     before: Callable[[], None] | None = None,
     stderr: int = subprocess.PIPE,
     held: socket.socket | None = None,
+    command: Sequence[str] = (sys.executable, "-m", "linnetshift"),
+    program: Path = ROOT,
     **env: str,
 ) -> subprocess.Popen[str]:
-    """`held` is the platform's listening socket, which the program inherits."""
+    """`held` is the platform's listening socket, which the program inherits; `program` the checkout."""
     if held is not None:
         env = {"GW_LISTEN_FD": str(held.fileno()), **env}
     return subprocess.Popen(
-        [sys.executable, "-m", "linnetshift"],
-        cwd=ROOT,
+        [*command],
+        cwd=program,
         env={
             **os.environ,
             "GW_CONFIG": config,
@@ -370,11 +391,14 @@
     before: Callable[[], None] | None = None,
     door: bool = False,
     held: bool = False,
+    command: Sequence[str] = (sys.executable, "-m", "linnetshift"),
+    program: Path = ROOT,
     **changes: Any,
 ) -> Iterator[Proxy]:
     """`own` is the broker's own file; PORT in it is the proxy's `extra_port`.
 
-    `door`: operators may call; `held`: the clients' listening socket is the platform's.
+    `door`: operators may call; `held`: the clients' listening socket is the platform's; `command` starts
+    the program that lies in the folder `program`.
     """
     listeners = [Listener(f"s-{n}") for n in range(providers)]
     directory = Directory(listeners)
@@ -395,7 +419,8 @@
     )
     own_file.write_text(own.replace("PORT", str(extra)))
     listener = socket.create_server(("127.0.0.1", port), backlog=1024) if held else None
-    running = Proxy(launch(str(config), str(own_file), before, held=listener), port, extra)
+    process = launch(str(config), str(own_file), before, held=listener, command=command, program=program)
+    running = Proxy(process, port, extra)
     running.held = listener
     running.listeners, running.directory, running.config = listeners, directory, config
     running.admin_port = admin
