Let ended actors, streams and invocations go at once, by reference counting alone

Memory grew with every ended connection: actor and stream, consumer and invocation, attempt and link held each other until a full collection, and armed or cancelled timers held them through closures.

Now what owns lets go: an actor's end gives up script, mailbox, alarms and stream; a closed stream its buffers and callback; an invocation that is over its consumer, an attempt its link; the overdue timer ends with the answer; cancelled timers never outnumber the living by more than a few. Buffers start at 1 KB and grow when filled. One alarm at most watches a stalled reader.

--- a/bench/hostile_memory.py
+++ b/bench/hostile_memory.py
@@ -23,7 +23,8 @@
 
 STEPS = (1_500, 5_000, 15_000)
 OWN = '[channels]\nenabled = true\nlisten = "127.0.0.1:PORT"\n'
-ENDINGS = ("wait", "wait", "half", "fin", "reset")
+# A session may stay silent once it has identified itself: only whoever lets go at once can be counted.
+ENDINGS = {"platform": ("wait", "half", "fin", "reset"), "channels": ("half", "fin", "reset")}
 
 
 def garbage(rng: random.Random, port: int, front: str) -> Input:
@@ -33,7 +34,7 @@
         body = b"SSH-2.0-x\r\n" + body
     elif rng.random() < 0.5:
         body += b"\r\n"
-    return Input(port, (body,), rng.choice(ENDINGS))  # type: ignore[arg-type]
+    return Input(port, (body,), rng.choice(ENDINGS[front]))  # type: ignore[arg-type]
 
 
 def measure(front: str, seed: int, steps: tuple[int, ...], **how: object) -> Iterator[tuple[int, float, int]]:
@@ -44,7 +45,7 @@
         yield 0, running.resident_mib(), running.descriptors()
         for step in steps:
             wanted = (garbage(rng, port, front) for _ in range(step - played))
-            for result in play(wanted, limit_s=6.0):
+            for result in play(wanted, at_once=200, limit_s=6.0):
                 if result.ended in ("late", "refused"):
                     raise SystemExit(f"{front}: {result.ended} after {result.seconds:.1f} s: {result.input}")
             played = step
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -83,8 +83,7 @@
             case api.Refuse(request, retry_after_ns):
                 self.reject(request, retry_after_ns)
             case api.Fail(request):
-                if (invocation := self.answer(request)) is not None:
-                    invocation.consumer.fail()
+                self.fail(request)
             case api.Move(request):
                 self.move(request, "moved")
             case api.Cancel(request, number):
@@ -144,21 +143,19 @@
         invocation.id, invocation.began = next(self.ids), self.clock()
         breach = self.contracts.admit(invocation.tenant, invocation.klass, invocation.flags, invocation.began)
         if breach is not None:
-            invocation.answered = True
-            invocation.consumer.reject(breach.wait_ns, breach.limit)
+            invocation.release().reject(breach.wait_ns, breach.limit)
             return
         self.invocations[invocation.id] = invocation
         if invocation.adopt and invocation.began - self.started > ADOPT_NS:
             # Whoever still names a provider would choose it past the module, a draining one too.
-            self.answer(invocation.id)
-            invocation.consumer.fail()
+            self.fail(invocation.id)
             return
         if invocation.adopt:
             self.adopt(invocation)
             return
         left = max(1, invocation.deadline - invocation.began)
         number = invocation.id  # the invocation itself would be held until then, answered or not
-        self.timers.later(left + OVERDUE_NS, lambda: self.overdue(number))
+        invocation.overdue = self.timers.later(left + OVERDUE_NS, lambda: self.overdue(number))
         self.post(
             api.Request(
                 invocation.id,
@@ -174,14 +171,15 @@
 
     def overdue(self, request: int) -> None:
         """Whatever keeps the module from it, an answer is owed before the consumer gives up."""
-        if (invocation := self.answer(request)) is not None:
+        if (consumer := self.answer(request)) is not None:
             self.post(api.Withdrawn(request))
-            invocation.consumer.fail()
+            consumer.fail()
 
     def up(self, attempt: Attempt, receipt: memoryview) -> None:
         """The provider serves: the final answer, and the start of the standing connection."""
         invocation, now = attempt.invocation, self.clock()
-        attempt.standing = invocation.answered = True
+        attempt.standing = True
+        invocation.settle()
         if invocation.flags & api.RETURNED:
             self.gauge.guest(True, now)
         if invocation.adopt:
@@ -206,15 +204,15 @@
         invocation = attempt.invocation
         if invocation.out is not attempt:
             return
-        invocation.out = None
+        invocation.part()
         if attempt.standing or invocation.answered:
-            self.forget(invocation)
+            consumer = self.forget(invocation)
             if attempt.standing:
                 if outcome == Outcome.RESET:
                     self.gauge.dropped(attempt.provider, self.clock())
                 if outcome != Outcome.OK:
                     self.gauge.guest(False, self.clock())
-                invocation.consumer.provider_ended(outcome, reset)
+                consumer.provider_ended(outcome, reset)
         elif invocation.adopt:
             self.adopt_again(invocation, outcome)
             return
@@ -223,15 +221,13 @@
     def adopt_again(self, invocation: Invocation, outcome: Outcome) -> None:
         """Only one provider will do: while it cannot be reached, it is asked again."""
         if outcome not in api.NEVER_RAN or self.clock() + ADOPT_AGAIN_NS >= invocation.deadline:
-            self.answer(invocation.id)
-            invocation.consumer.fail()
+            self.fail(invocation.id)
             return
-        self.timers.later(ADOPT_AGAIN_NS, lambda: self.adopt(invocation))
+        invocation.overdue = self.timers.later(ADOPT_AGAIN_NS, lambda: self.adopt(invocation))
 
     def adopt(self, invocation: Invocation) -> None:
         if self.bans.holds(invocation.adopt):  # this goes past the module, which would not send there
-            if self.answer(invocation.id) is not None:
-                invocation.consumer.fail()
+            self.fail(invocation.id)
         elif not invocation.answered:
             self.open(invocation, invocation.adopt, invocation.deadline)
 
@@ -249,17 +245,17 @@
         if invocation.id not in self.invocations:
             return
         attempt, waiting = invocation.out, not invocation.answered
-        invocation.answered, invocation.out = True, None
+        link = invocation.part()
         self.forget(invocation)
         if waiting and not invocation.adopt:
             self.post(api.Withdrawn(invocation.id))
         if attempt is None:
             return
-        if attempt.link is not None:
+        if link is not None:
             if attempt.standing:
-                attempt.link.consumer_ended(reset)
+                link.consumer_ended(reset)
             else:
-                attempt.link.abandon()
+                link.abandon()
         if attempt.standing or not invocation.adopt:
             self.tell_ended(attempt, attempt.verdict)
 
@@ -332,23 +328,25 @@
         self.providers.open(attempt)
 
     def reject(self, request: int, retry_after_ns: int = 0) -> None:
-        if (invocation := self.answer(request)) is not None:
-            invocation.consumer.reject(retry_after_ns, "")
+        if (consumer := self.answer(request)) is not None:
+            consumer.reject(retry_after_ns, "")
+
+    def fail(self, request: int) -> None:
+        if (consumer := self.answer(request)) is not None:
+            consumer.fail()
 
-    def answer(self, request: int) -> Invocation | None:
-        """The invocation to give its one final answer, unless it has had it."""
+    def answer(self, request: int) -> Consumer | None:
+        """The consumer to give its one final answer, unless it has had it."""
         invocation = self.invocations.get(request)
         if invocation is None or invocation.answered:
             return None
-        invocation.answered = True
-        attempt = invocation.out
-        self.forget(invocation)
+        attempt, link = invocation.out, invocation.part()
+        consumer = self.forget(invocation)
+        if link is not None:
+            link.abandon()
         if attempt is not None:
-            invocation.out = None
-            if attempt.link is not None:
-                attempt.link.abandon()
             self.tell_ended(attempt, Outcome.CANCELLED)
-        return invocation
+        return consumer
 
     def cancel(self, request: int, number: int) -> None:
         invocation = self.invocations.get(request)
@@ -366,9 +364,11 @@
             self.moved += 1
             invocation.consumer.move(reason)
 
-    def forget(self, invocation: Invocation) -> None:
+    def forget(self, invocation: Invocation) -> Consumer:
+        """It is over; its consumer, which it holds no longer."""
         if self.invocations.pop(invocation.id, None) is not None:
             self.contracts.release(invocation.tenant)
+        return invocation.release()
 
     # ---- leaving ----------------------------------------------------------------------------
 
--- a/linnetshift/core/invocation.py
+++ b/linnetshift/core/invocation.py
@@ -9,6 +9,12 @@
 from linnetshift.interface import Outcome
 
 
+class Alarm(Protocol):
+    """What a timer is held by."""
+
+    def cancel(self) -> None: ...
+
+
 class Consumer(Protocol):
     """The side that asked. Messages are slices that hold only until the call returns."""
 
@@ -33,6 +39,32 @@
     def provider_ended(self, outcome: int, reset: bool) -> None: ...
 
 
+class Nobody:
+    """The consumer of an invocation that is over: whoever still holds that says its last word to nobody.
+
+    Without it invocation and consumer would hold each other for as long as no collector comes.
+    """
+
+    congested = False
+
+    def up(self, receipt: memoryview) -> None: ...
+
+    def deliver(self, message: memoryview) -> None: ...
+
+    def resume(self) -> None: ...
+
+    def reject(self, retry_after_ns: int, breach: str) -> None: ...
+
+    def fail(self) -> None: ...
+
+    def move(self, reason: str) -> None: ...
+
+    def provider_ended(self, outcome: int, reset: bool) -> None: ...
+
+
+NOBODY = Nobody()
+
+
 class Link(Protocol):
     """The connection to a provider that an attempt uses."""
 
@@ -73,6 +105,28 @@
     attempts: int = 0
     out: Attempt | None = None  # the attempt that is under way or stands
     answered: bool = False
+    overdue: Alarm | None = None  # until it is answered: what then answers in the module's place
+
+    def release(self) -> Consumer:
+        """It is over, and holds nobody from now on; the consumer, to be told so."""
+        consumer, self.consumer = self.consumer, NOBODY
+        self.settle()
+        return consumer
+
+    def settle(self) -> None:
+        """It has its answer."""
+        self.answered = True
+        if self.overdue is not None:
+            self.overdue.cancel()
+            self.overdue = None
+
+    def part(self) -> Link | None:
+        """No attempt is out or stands any more; its link, which the attempt holds no longer."""
+        attempt, self.out = self.out, None
+        if attempt is None:
+            return None
+        link, attempt.link = attempt.link, None
+        return link
 
 
 @dataclass(slots=True, eq=False)
--- a/linnetshift/core/ports.py
+++ b/linnetshift/core/ports.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from linnetshift.core.invocation import Attempt
+from linnetshift.core.invocation import Alarm, Attempt
 
 
 class Timers(Protocol):
     def wake(self, delay_ns: int, token: int) -> None:
         """Have `Broker.timer_fired` called with the token after the delay."""
 
-    def later(self, delay_ns: int, fire: Callable[[], None]) -> None: ...
+    def later(self, delay_ns: int, fire: Callable[[], None]) -> Alarm: ...
 
     def soon(self) -> None:
         """Have `Broker.drain` called once the events at hand are all in."""
--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -18,10 +18,10 @@
 from linnetshift.core.invocation import Invocation, Link
 from linnetshift.interface import Outcome
 from linnetshift.net import log, ssh
-from linnetshift.net.limits import DRAIN_NS, MOST_TOLD, MOST_WAIT_MS, OPENER_NS, Strangers
+from linnetshift.net.limits import DRAIN_NS, MOST_TOLD, MOST_WAIT_MS, OPENER_NS, Reading, Strangers
 from linnetshift.net.log import Reason
-from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
-from linnetshift.net.platform import ANSWER_NS, STALL_NS, Front, Names
+from linnetshift.net.loop import MS, Io, Loop, S, Script, Timeout, Timer
+from linnetshift.net.platform import ANSWER_NS, Front, Names
 from linnetshift.net.provider import Endpoint, Steps, Stop, linger
 from linnetshift.net.ssh import Disconnect, Fields, Malformed, Message, OpenFailure, message, string
 from linnetshift.net.stream import End, LineTooLong, Stream
@@ -159,7 +159,7 @@
             return
         self.reason, self.closing = reason, request
         if self.pending:
-            self.session.loop.call_later(HELD_NS, lambda: self.session.post(Overdue(self)))
+            self.session.alarm(HELD_NS, Overdue(self))
         else:
             self.finish()
 
@@ -176,7 +176,7 @@
         self.session.write(message(Message.CHANNEL_CLOSE, "I", self.remote))
 
 
-class Session(Actor):
+class Session(Reading):
     """One terminal's connection and its channels."""
 
     def __init__(self, front: ChannelsFront, sock: socket.socket, peer: Endpoint) -> None:
@@ -189,7 +189,8 @@
         self.opened = 0
         self.received = 0  # packets, the last one's sequence number being one less
         self.beats = 0  # keepalives since anything was heard
-        self.congested_at = 0
+        self.part: Timer | None = None  # armed while only part of a packet is there
+        self.part_at = 0  # since when
         self.reason: Reason | None = None
         self.began = self.loop.now()
 
@@ -236,6 +237,7 @@
                 channel.reason = self.reason or Reason.CONSUMER_LEFT
             self.broker.consumer_ended(channel.invocation, reset)
             self.drop(channel)
+        self.turns.clear()
 
     def report(self) -> None:
         self.front.sessions.discard(self)
@@ -281,13 +283,14 @@
                 case Io(mask):
                     self.turn(mask)
                     self.read_packets()
-                case Overdue(channel):
+                case Timeout(tag=Overdue(channel)):
                     channel.finish()
                 case Timeout(tag="keepalive"):
                     self.keep_alive()
-                case Timeout(tag="stalled") if self.congested_at:
-                    if self.loop.now() - self.congested_at >= STALL_NS:
-                        self.reason = Reason.STALLED
+                case Timeout(tag="part"):
+                    self.part_overdue()
+                case Timeout(tag="stalled") if self.stalled():
+                    self.reason = Reason.STALLED
             if self.front.leaving and not self.channels and self.reason is None:
                 self.leave()
 
@@ -321,9 +324,7 @@
 
     def write(self, payload: bytes) -> None:
         self.stream.send(ssh.packet(payload))
-        if self.stream.congested and not self.congested_at:
-            self.congested_at = self.loop.now()
-            self.alarm(STALL_NS, "stalled")
+        self.look_for_stall()
 
     def refuse(self, remote: int, code: OpenFailure, text: str) -> None:
         head = message(Message.CHANNEL_OPEN_FAILURE, "II", remote, code)
@@ -340,8 +341,7 @@
 
     def give_turns(self) -> None:
         """Round and round, a packet each; a channel without window leaves the round until it has some."""
-        if not self.stream.congested:
-            self.congested_at = 0
+        self.look_for_stall()
         while self.turns and not self.stream.congested:
             channel = self.turns.popleft()
             channel.queued = False
@@ -355,7 +355,20 @@
     def read_packets(self) -> None:
         while self.reason is None and (payload := ssh.next_packet(self.stream)) is not None:
             self.received += 1
+            if self.part is not None:
+                self.part.cancel()
+                self.part = None
             self.heed(Fields(payload))
+        if self.part is None and self.stream.stop > self.stream.start and self.reason is None:
+            self.part, self.part_at = self.alarm(OPENER_NS, "part"), self.loop.now()
+
+    def part_overdue(self) -> None:
+        """Half a packet hides all that comes after it, and its session would never be known to be idle."""
+        if self.part is None or self.loop.now() - self.part_at < OPENER_NS:
+            return  # from a packet that has ended since
+        if self.stream.reading:
+            raise Malformed("a packet that does not end")
+        self.part, self.part_at = self.alarm(OPENER_NS, "part"), self.loop.now()  # it waits for us
 
     def heed(self, fields: Fields) -> None:
         kind = fields.byte()
--- a/linnetshift/net/handover.py
+++ b/linnetshift/net/handover.py
@@ -193,6 +193,8 @@
 class Beside(Actor):
     """The process that this one replaces, or the one that replaces it."""
 
+    stream: Stream
+
     def __init__(self, succession: Succession, sock: socket.socket, legacy: Legacy | None = None) -> None:
         loop = succession.loop
         super().__init__(loop)
--- a/linnetshift/net/limits.py
+++ b/linnetshift/net/limits.py
@@ -9,20 +9,46 @@
 import resource
 from typing import Protocol
 
-from linnetshift.net.loop import MS, Loop
+from linnetshift.net.loop import MS, Actor, Loop, S, Timer
+from linnetshift.net.stream import Stream
 
 # A first line comes with its connection; who owes it for longer is answered and closed, within 3 s in all.
 OPENER_NS = 2800 * MS
 # What is still sent after an answer is read and let go, since a close with bytes unread resets the answer
 # away; 60 MB may be on their way, and the close is promised within 6 s.
 DRAIN_NS = 5500 * MS
-MAX_LINE = 4096
+STALL_NS = 7 * S  # how long a consumer may leave everything unread
 MOST_WAIT_MS = 600_000  # no consumer waits so long for its answer
 MOST_TOLD = 200  # characters of somebody else's text in a log line
 # Descriptors that no stranger gets: for providers, the directory, listeners and the log.
 LEAST_SPARE, SPARE_PART = 24, 6
 
 
+class Reading(Actor):
+    """An actor whose peer is to read what it is sent, and is given up when it has not for STALL_NS.
+
+    One alarm at most is armed for that, however often the peer stops and goes on.
+    """
+
+    stream: Stream
+    congested_at = 0
+    stall: Timer | None = None
+
+    def look_for_stall(self) -> None:
+        """After each write and flush."""
+        if self.stream.congested and not self.congested_at:
+            self.congested_at = self.loop.now()
+            self.stall = self.alarm(STALL_NS, "stalled")
+        elif self.congested_at and not self.stream.congested:
+            self.congested_at = 0
+            if self.stall is not None:
+                self.stall.cancel()
+
+    def stalled(self) -> bool:
+        """Whether it has left everything unread for that long; an alarm may be from before it went on."""
+        return bool(self.congested_at) and self.loop.now() - self.congested_at >= STALL_NS
+
+
 class Stranger(Protocol):
     def shed(self) -> None:
         """Close its socket now."""
--- a/linnetshift/net/loop.py
+++ b/linnetshift/net/loop.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Generator
 from itertools import count
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 Script = Generator[None, Any, None]
 Handler = Callable[[int], None]
@@ -30,23 +30,62 @@
 
 
 class Timer:
-    """Fires once unless it is cancelled first."""
+    """Fires once unless it is cancelled first; after either it holds nothing and nobody."""
 
-    __slots__ = ("fire",)
+    __slots__ = ("call", "loop")
+
+    def __init__(self, loop: Loop, call: Callable[[], None]) -> None:
+        self.loop = loop
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        if self.call is not None:
+            self.call = None
+            self.loop.bury()
+
+    def fire(self) -> None:
+        call, self.call = self.call, None
+        if call is not None:
+            call()
 
-    def __init__(self, fire: Callable[[], None]) -> None:
-        self.fire: Callable[[], None] | None = fire
+
+class Alarm(Timer):
+    """An actor's timer: it leaves a `Timeout` in the mailbox, and ends with the actor."""
+
+    __slots__ = ("actor", "tag")
+
+    def __init__(self, actor: Actor, tag: object) -> None:
+        super().__init__(actor.loop, self.ring)
+        self.actor, self.tag = actor, tag
+
+    def ring(self) -> None:
+        self.actor.alarms.discard(self)
+        self.actor.post(Timeout(self.tag))
 
     def cancel(self) -> None:
-        self.fire = None
+        self.actor.alarms.discard(self)
+        super().cancel()
+
+
+class Closing(Protocol):
+    """What an actor owns besides its alarms: a stream."""
+
+    def close(self) -> None: ...
 
 
 class Actor:
-    """A script that receives, one at a time, the messages others leave in its mailbox."""
+    """A script that receives, one at a time, the messages others leave in its mailbox.
+
+    An actor that has ended, in whichever way, has let go of all that it owned: script, mailbox, alarms and
+    stream. Others may still hold it and ask it things; it costs them a few plain values.
+    """
+
+    stream: Closing | None = None
 
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
         self.mailbox: deque[Any] = deque()
+        self.alarms: set[Alarm] = set()
         self.scheduled = False
         self.script: Script | None = None
 
@@ -63,7 +102,10 @@
             self.loop.ready.append(self)
 
     def alarm(self, delay_ns: int, tag: object) -> Timer:
-        return self.loop.call_later(delay_ns, lambda: self.post(Timeout(tag)))
+        alarm = Alarm(self, tag)
+        self.alarms.add(alarm)
+        self.loop.schedule(delay_ns, alarm)
+        return alarm
 
     def run(self) -> None:
         self.scheduled = False
@@ -77,18 +119,29 @@
         except StopIteration:
             self.end()
         except Exception as error:
-            self.end()
-            self.faulted(error)
+            self.script = None  # it hears nothing more, not even of what its fault sets off
+            try:
+                self.faulted(error)
+            finally:
+                self.end()
 
     def end(self) -> None:
+        """Let go of everything at once: waiting for a collector would keep buffers by the thousand."""
         self.script = None
         self.mailbox.clear()
+        while self.alarms:
+            next(iter(self.alarms)).cancel()
+        if self.stream is not None:
+            self.stream.close()
 
     def faulted(self, error: Exception) -> None:
         """A fault in the script. Peers contain theirs; one of the others' ends the program."""
         raise error
 
 
+FEW = 64  # cancelled timers that are left where they are
+
+
 class Loop:
     """Runs actors until told to stop.
 
@@ -102,6 +155,7 @@
         self.handlers: dict[int, Handler] = {}
         self.ready: deque[Actor] = deque()
         self.timers: list[tuple[int, int, Timer]] = []
+        self.dead = 0  # cancelled ones among them
         self.sequence = count()
         self.stopped = False
         self.streams = 0  # that are open
@@ -113,13 +167,21 @@
         return time.monotonic_ns() + self.offset
 
     def call_later(self, delay_ns: int, fire: Callable[[], None]) -> Timer:
-        timer = Timer(fire)
+        timer = Timer(self, fire)
         self.schedule(delay_ns, timer)
         return timer
 
     def schedule(self, delay_ns: int, timer: Timer) -> None:
         heapq.heappush(self.timers, (self.now() + max(0, delay_ns), next(self.sequence), timer))
 
+    def bury(self) -> None:
+        """One in the heap was cancelled. Dead ones never outnumber the living by more than a few."""
+        self.dead += 1
+        if self.dead > FEW and 2 * self.dead > len(self.timers):
+            self.timers[:] = [entry for entry in self.timers if entry[2].call is not None]
+            heapq.heapify(self.timers)
+            self.dead = 0
+
     def watch(self, fd: int, mask: int, handler: Handler) -> None:
         if fd in self.handlers:
             self.epoll.modify(fd, mask)
@@ -156,7 +218,9 @@
 
     def _fire_due(self) -> None:
         now = self.now()
-        while self.timers and (self.timers[0][0] <= now or self.timers[0][2].fire is None):
-            fire = heapq.heappop(self.timers)[2].fire
-            if fire is not None:
-                fire()
+        while self.timers and (self.timers[0][0] <= now or self.timers[0][2].call is None):
+            timer = heapq.heappop(self.timers)[2]
+            if timer.call is None:
+                self.dead -= 1
+            else:
+                timer.fire()
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -9,7 +9,7 @@
 from linnetshift.interface import Settings
 from linnetshift.net import log
 from linnetshift.net.channels import ChannelsFront
-from linnetshift.net.loop import MS, Actor, Loop, S, Script, Timeout
+from linnetshift.net.loop import MS, Actor, Loop, S, Script, Timeout, Timer
 
 REVIEW_NS = 250 * MS  # how often silence is looked for
 REVIEWS = 4  # and message times at one in so many
@@ -34,8 +34,8 @@
     def wake(self, delay_ns: int, token: int) -> None:
         self.later(delay_ns, lambda: self.broker.timer_fired(token))
 
-    def later(self, delay_ns: int, fire: Callable[[], None]) -> None:
-        self.loop.call_later(delay_ns, fire)
+    def later(self, delay_ns: int, fire: Callable[[], None]) -> Timer:
+        return self.loop.call_later(delay_ns, fire)
 
     def live(self) -> Script:
         self.alarm(REVIEW_NS, 1)
--- a/linnetshift/net/ops.py
+++ b/linnetshift/net/ops.py
@@ -57,6 +57,8 @@
 class Caller(Actor):
     """One connection: one call, its answer, and the end."""
 
+    stream: Stream
+
     def __init__(self, door: Door, sock: socket.socket, peer: Endpoint) -> None:
         super().__init__(door.loop)
         self.door, self.peer = door, peer
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -13,13 +13,12 @@
 from linnetshift.core.invocation import Invocation
 from linnetshift.interface import Outcome
 from linnetshift.net import log
-from linnetshift.net.limits import DRAIN_NS, MOST_TOLD, MOST_WAIT_MS, OPENER_NS, Strangers
+from linnetshift.net.limits import DRAIN_NS, MOST_TOLD, MOST_WAIT_MS, OPENER_NS, Reading, Strangers
 from linnetshift.net.log import Reason
-from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
+from linnetshift.net.loop import MS, Io, Loop, Script, Timeout
 from linnetshift.net.provider import Endpoint, Resume, Steps, Stop, linger
 from linnetshift.net.stream import End, LineTooLong, Stream
 
-STALL_NS = 7 * S  # how long a consumer may leave everything unread
 ANSWER_NS = 4 * MS  # answers leave this much before the consumer gives up
 BACKLOG = 1024
 ACCEPTS = 64  # at one turn of the loop
@@ -166,7 +165,7 @@
     reset: bool
 
 
-class PlatformConsumer(Actor):
+class PlatformConsumer(Reading):
     """One consumer's connection, from its first line to its end."""
 
     def __init__(self, front: PlatformFront, sock: socket.socket, peer: Endpoint) -> None:
@@ -178,7 +177,6 @@
         self.provider = b""
         self.id: int | None = None  # held in the front's set while this is open
         self.error = ""
-        self.congested_at = 0
 
     def shed(self) -> None:
         self.stream.send(b"" if self.stream.ending else FAILED)
@@ -202,9 +200,7 @@
 
     def deliver(self, message: memoryview) -> None:
         self.stream.send(message)
-        if self.stream.congested and not self.congested_at:
-            self.congested_at = self.loop.now()
-            self.alarm(STALL_NS, "stalled")
+        self.look_for_stall()
 
     def resume(self) -> None:
         self.post(Resume())
@@ -369,10 +365,9 @@
                 case Io(mask):
                     if mask & select.EPOLLOUT:
                         stream.flush()
-                        if not stream.congested:
-                            self.congested_at = 0
-                            if invocation.out is not None and invocation.out.link is not None:
-                                invocation.out.link.resume()
+                        self.look_for_stall()
+                        if not stream.congested and (out := invocation.out) and out.link is not None:
+                            out.link.resume()
                     if mask & ~select.EPOLLOUT:
                         end = stream.fill()
                         if not self.pass_on(invocation):
@@ -392,10 +387,9 @@
                     stream.send(b"MOVE\r\n")  # what was sent before it were whole lines
                     self.broker.consumer_ended(invocation, False)
                     return Reason(reason)
-                case Timeout(tag="stalled") if self.congested_at:
-                    if self.loop.now() - self.congested_at >= STALL_NS:
-                        self.broker.consumer_ended(invocation, False)
-                        return Reason.STALLED
+                case Timeout(tag="stalled") if self.stalled():
+                    self.broker.consumer_ended(invocation, False)
+                    return Reason.STALLED
         link = invocation.out.link if invocation.out is not None else None
         if end is End.FIN and link is not None and (rest := stream.rest()):
             link.deliver(rest)
--- a/linnetshift/net/ssh.py
+++ b/linnetshift/net/ssh.py
@@ -67,11 +67,15 @@
 def next_packet(stream: Stream) -> memoryview | None:
     """The payload of the next whole packet in the stream's buffer, a slice of it."""
     held = stream.view[stream.start : stream.stop]
-    if len(held) < 5:
+    if len(held) < 4:
         return None
-    length, padding = struct.unpack_from(">IB", held)
+    length = int.from_bytes(held[:4], "big")
+    # Judged as soon as it is there: what will never be a packet need not be waited for.
     if length + 4 > MOST_PACKET or length < 1 + LEAST_PADDING or (length + 4) % BLOCK:
         raise Malformed(f"packet length {length} is out of range")
+    if len(held) < 5:
+        return None
+    padding = held[4]
     if padding < LEAST_PADDING or padding > length - 2:
         raise Malformed(f"padding length {padding} is out of range")
     whole = stream.take(4 + length)
--- a/linnetshift/net/stream.py
+++ b/linnetshift/net/stream.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Iterator
 from enum import Enum
 
-from linnetshift.net.limits import MAX_LINE
 from linnetshift.net.loop import Loop
 
 # A peer that is gone without a word: unanswered keep-alives, or data left unacknowledged, end the connection.
@@ -20,6 +19,9 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 20_000),
 )
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+MAX_LINE = 4096
+SMALL = 1024  # bytes that a stream reads into until there is more at once: most never say much
+NOTHING = memoryview(b"")
 NOWHERE = bytearray(1 << 20)  # never written: the kernel throws away what is read with MSG_TRUNC
 
 
@@ -34,8 +36,15 @@
     """A line longer than the protocol allows."""
 
 
+def unheard(_mask: int) -> None:
+    """In place of the callback of a stream that is closed."""
+
+
 class Stream:
-    """What is read stays in a fixed buffer until the next `fill`; what cannot be written yet is copied.
+    """What is read stays in a bounded buffer until the next `fill`; what cannot be written yet is copied.
+
+    The buffer starts small and has its full size once a read has filled it. A stream that is closed holds
+    neither buffer nor callback: whoever keeps it keeps nothing else. Slices given out before stay whole.
 
     Whoever feeds `send` stops reading its own peer while `congested`, so neither buffer outgrows a few
     lines.
@@ -51,7 +60,8 @@
             for level, option, value in HALF_OPEN:
                 sock.setsockopt(level, option, value)
         self.fd = sock.fileno()
-        self.buffer = bytearray(size)
+        self.size = size
+        self.buffer = bytearray(min(SMALL, size))
         self.view = memoryview(self.buffer)
         self.start = self.stop = 0
         self.out = bytearray()
@@ -89,10 +99,16 @@
 
     def fill(self) -> End | None:
         """Read once; how the peer ended, if it did. Slices given out before are void after this."""
-        if self.start:
-            kept = self.stop - self.start
+        if self.closed:
+            return End.RESET
+        kept = self.stop - self.start
+        if self.stop == len(self.view) < self.size:  # the read before filled it: there is more than a little
+            grown = bytearray(self.size)
+            grown[:kept] = self.view[self.start : self.stop]
+            self.buffer, self.view = grown, memoryview(grown)
+        elif self.start:
             self.view[:kept] = self.view[self.start : self.stop]
-            self.start, self.stop = 0, kept
+        self.start, self.stop = 0, kept
         if self.stop == len(self.view):
             return None
         try:
@@ -191,3 +207,6 @@
         if how is End.RESET:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.sock.close()
+        self.ready = unheard
+        self.buffer, self.out = bytearray(), bytearray()
+        self.view, self.start, self.stop = NOTHING, 0, 0
--- a/linnetshift/net/vrrp.py
+++ b/linnetshift/net/vrrp.py
@@ -22,6 +22,7 @@
 OWNER, RELEASED = 255, 0  # priorities with a meaning of their own
 CENTISECOND = 10 * MS
 MOST_DATAGRAM = 2048
+DATAGRAMS = 32  # at one turn of the loop
 
 
 class State(Enum):
@@ -164,6 +165,7 @@
         self.router = Router(config, self.send, self.arm)
         self.before = self.router.state
         self.timer: Timer | None = None
+        self.due: object = None  # the tag of the one that is armed
         self.sock = given or socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
         if given is None:
@@ -183,7 +185,7 @@
             match (yield):
                 case Io():
                     self.receive()
-                case Timeout(tag=tag) if tag is self.timer:
+                case Timeout(tag=tag) if tag is self.due:
                     self.router.timer_fired()
 
     def settle(self) -> None:
@@ -214,7 +216,7 @@
             self.router.stop()
             self.loop.unwatch(self.sock.fileno())
         self.sock.close()
-        self.script = None
+        self.end()
 
     def send(self, priority: int) -> None:
         if priority != RELEASED:
@@ -230,11 +232,11 @@
     def arm(self, centiseconds: float) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        timer = self.timer = Timer(lambda: self.post(Timeout(timer)))
-        self.loop.schedule(int(centiseconds * CENTISECOND), timer)
+        self.due = object()
+        self.timer = self.alarm(int(centiseconds * CENTISECOND), self.due)
 
     def receive(self) -> None:
-        while True:
+        for _ in range(DATAGRAMS):  # a flood must not keep the loop from everyone else
             try:
                 data, sender = self.sock.recvfrom(MOST_DATAGRAM)
             except BlockingIOError:
