Bound what lives as long as the program, and meet hostile peers on every wire

Names of providers, classes of reloads, bans, callers that do not leave, channels that wait and what a hung process beside this one is told had no bound.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -7,14 +7,15 @@
 import signal
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
+from linnetshift.core.bans import MOST_LISTED
 from linnetshift.core.broker import Broker
-from linnetshift.core.gauge import Standing
+from linnetshift.core.census import Held
 from linnetshift.core.memory import recall
 from linnetshift.net import log
-from linnetshift.net.channels import ChannelsFront
+from linnetshift.net.channels import MOST_OPEN, ChannelsFront
 from linnetshift.net.config import (
     BrokerFile,
     Config,
@@ -24,7 +25,7 @@
     read_config,
 )
 from linnetshift.net.directory import Directory, Roster, describe
-from linnetshift.net.handover import Inherited, Legacy, Place, Succession, meet, spent
+from linnetshift.net.handover import Holdings, Inherited, Legacy, Place, Succession, meet, spent
 from linnetshift.net.limits import Strangers
 from linnetshift.net.loop import Loop, S
 from linnetshift.net.module import Departure, Module, Mover
@@ -62,9 +63,8 @@
         self.directory.start(self.directory.live())
         self.strangers = Strangers(loop, config.sockets)
         inherited.restore(self.broker)
-        holdings = inherited.state.get("holdings", {})
-        self.moved_beside = int(holdings.get("moved", 0))  # by the other process, so far
-        self.holds_beside(holdings)
+        self.moved_beside = inherited.holdings.moved  # by the other process, so far
+        self.holds_beside(inherited.holdings)
         self.listed(known)
         inherited.remember(self.broker)
         self.front = PlatformFront(loop, self.broker, self.names, self.strangers)
@@ -89,8 +89,28 @@
         self.succession = Succession(loop, self, place, legacy)
 
     def listed(self, roster: Roster) -> None:
-        self.gate.listed(roster.event, roster.endpoints)
-        self.broker.listed(roster.event)
+        event = self.broker.bans.bounded(roster.event)
+        if left_out := len(roster.event.entries) - len(event.entries):
+            log.note("too-many-providers", left_out=left_out)
+        self.gate.listed(event, {entry.host: roster.endpoints[entry.host] for entry in event.entries})
+        self.broker.listed(event)
+
+    def census(self) -> dict[str, Held]:
+        """Every container that lives as long as the program; docs/memory.md says the same bounds."""
+        connections = self.strangers.descriptors + MOST_OPEN
+        return {
+            **self.loop.held(connections),
+            **self.broker.held(connections),
+            **self.gate.held(MOST_LISTED),
+            **self.strangers.held(connections),
+            **self.front.held(connections),
+            **self.channels.held(connections),
+            **self.door.held(),
+            **self.succession.held(),
+        }
+
+    def crowded(self, provider: bytes) -> bool:
+        return self.broker.bans.full() and not self.broker.bans.holds(provider)
 
     # ---- what operators ask -----------------------------------------------------------------
 
@@ -164,16 +184,14 @@
         }
         return {"streams": self.loop.streams, "loads": loads, "moved": self.broker.moved}
 
-    def holds_beside(self, holdings: dict[str, Any]) -> None:
-        self.strangers.beside = int(holdings.get("streams", 0))
-        self.broker.gauge.elsewhere = {
-            provider.encode(): [Standing(load, group, 0) for load, group in held]
-            for provider, held in holdings.get("loads", {}).items()
-        }
-        for _ in range(self.moved_beside, int(holdings.get("moved", 0))):
-            self.broker.gauge.guest(False, self.loop.now())  # it comes back here, and was this proxy's before
-        self.moved_beside = int(holdings.get("moved", 0))
-        self.broker.balancer.elsewhere = sum(map(len, self.broker.gauge.elsewhere.values()))
+    def holds_beside(self, holdings: Holdings) -> None:
+        self.strangers.beside = holdings.streams
+        self.broker.gauge.elsewhere = dict(holdings.loads)
+        # It comes back here, and was this proxy's before.
+        for _ in range(min(holdings.moved - self.moved_beside, self.strangers.descriptors)):
+            self.broker.gauge.guest(False, self.loop.now())
+        self.moved_beside = holdings.moved
+        self.broker.balancer.elsewhere = sum(map(len, holdings.loads.values()))
 
     # ---- what happens to the program --------------------------------------------------------
 
@@ -223,7 +241,7 @@
         bound: list[tuple[Front, Acceptor]] = []
         door: Acceptor | None = None
         try:
-            config, own = read_files(self.config)
+            config, own = read_files(self.config, self.classes_in_use())
             if own.vrrp != self.own.vrrp:
                 raise ConfigError("a change of [vrrp] needs a restart")
             if (name := self.names.lost(config.names)) is not None:
@@ -262,6 +280,10 @@
             dropped=",".join(dropped),
         )
 
+    def classes_in_use(self) -> set[int]:
+        """By open invocations, and by clients that have not heard of the last change."""
+        return {i.klass for i in self.broker.invocations.values()} | {*self.names.classes.values()}
+
     def depart(self, replaced: bool) -> None:
         self.front.leaving = True
         if self.vrrp is not None and not replaced:
@@ -274,8 +296,10 @@
         self.channels.leave()
 
 
-def read_files(former: Config | None = None) -> tuple[Config, BrokerFile]:
-    config = read_config(os.environ.get("GW_CONFIG"), former)
+def read_files(
+    former: Config | None = None, in_use: Collection[int] | None = None
+) -> tuple[Config, BrokerFile]:
+    config = read_config(os.environ.get("GW_CONFIG"), former, in_use)
     own = read_broker_file(os.environ.get("LINNETSHIFT_BROKER"), config.names, config.settings)
     return config, own
 
--- a/linnetshift/core/bans.py
+++ b/linnetshift/core/bans.py
@@ -9,10 +9,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from linnetshift.core.census import Held
 from linnetshift.interface import HostEntry, HostList, HostState, ListForm
 
 LEAVE_NS = 1_700_000_000  # operators restart what they took out some 2 s after the call
-MOST_KNOWN = 4096  # machines are replaced under new names: without a bound, the gone ones would pile up
+# Machines are replaced under new names, and a directory may go wrong: without bounds, names would pile up.
+MOST_LISTED = 8192  # providers that the list names at once; what is beyond is left out
+MOST_KNOWN = 2 * MOST_LISTED  # with those that are gone
+MOST_OUT = 4096  # bans; each holds until the call back, so one more is answered no
 
 
 class Bans:
@@ -23,6 +27,25 @@
         self.since: dict[bytes, int] = {}  # when each was taken out
         self.back: dict[bytes, tuple[int, int]] = {}  # of those called back: when taken out, when called
 
+    def bounded(self, event: HostList) -> HostList:
+        """The event without those new entries that would be too many to keep."""
+        if len(event.entries) + len(self.listed) <= MOST_LISTED:
+            return event
+        named = {entry.host for entry in event.entries}
+        whole = event.form in (ListForm.FULL, ListForm.CACHED)
+        stays = {
+            h for h, e in self.listed.items() if e.state != HostState.GONE and not (whole and h not in named)
+        }
+        room = MOST_LISTED - len(stays)
+        kept = []
+        for entry in event.entries:
+            if entry.host in stays or entry.state == HostState.GONE:
+                kept.append(entry)
+            elif room > 0:
+                room -= 1
+                kept.append(entry)
+        return event._replace(entries=tuple(kept))
+
     def lay_over(self, event: HostList) -> HostList:
         """The list or change as the module is to see it."""
         if event.form == ListForm.FAILED:
@@ -34,8 +57,8 @@
                 if host not in named:
                     self.listed[host] = entry._replace(state=HostState.GONE)
         for entry in event.entries:
+            self.listed.pop(entry.host, None)  # to the end: those told of longest ago come first
             self.listed[entry.host] = entry
-        self.trim()
         return event._replace(entries=tuple(self.shown(entry) for entry in event.entries))
 
     def shown(self, entry: HostEntry) -> HostEntry:
@@ -50,12 +73,27 @@
             entry = entry._replace(leave_ns=LEAVE_NS)
         return entry
 
-    def trim(self) -> None:
-        if len(self.listed) > MOST_KNOWN:
-            gone = [h for h, e in self.listed.items() if e.state == HostState.GONE and h not in self.since]
-            for host in gone[: len(self.listed) - MOST_KNOWN]:
-                del self.listed[host]
-                self.back.pop(host, None)
+    def trim(self) -> list[bytes]:
+        """Forget those gone for longest; their names, which nobody else need keep either."""
+        over = len(self.listed) - MOST_KNOWN
+        if over <= 0:
+            return []
+        gone = [h for h, e in self.listed.items() if e.state == HostState.GONE and h not in self.since]
+        for host in gone[:over]:
+            del self.listed[host]
+            self.back.pop(host, None)
+        return gone[:over]
+
+    def full(self) -> bool:
+        """Whether one more cannot be taken out."""
+        return len(self.since) >= MOST_OUT
+
+    def held(self) -> dict[str, Held]:
+        return {
+            "names.known": Held(len(self.listed), MOST_KNOWN + MOST_OUT),
+            "bans.out": Held(len(self.since), MOST_OUT),
+            "bans.back": Held(len(self.back), MOST_KNOWN + MOST_OUT),
+        }
 
     def holds(self, host: bytes) -> bool:
         return host in self.since
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -12,7 +12,8 @@
 
 from linnetshift import interface as api
 from linnetshift.contracts import Contracts
-from linnetshift.core.bans import Bans
+from linnetshift.core.bans import MOST_KNOWN, MOST_OUT, Bans
+from linnetshift.core.census import Held
 from linnetshift.core.gauge import MessageGauge, Standing
 from linnetshift.core.invocation import Attempt, Consumer, Invocation, Link
 from linnetshift.core.ports import Directory, Providers, Timers
@@ -106,9 +107,15 @@
 
     def listed(self, event: api.HostList) -> None:
         self.told(self.bans.lay_over(event))
+        for name in self.bans.trim():
+            self.gauge.forget(name)
+            self.zones.pop(name, None)
+            self.starts.pop(name, None)
 
     def take_out(self, provider: bytes) -> bool:
-        """Send nothing new there until it is called back; whether it was ever listed."""
+        """Send nothing new there until it is called back; whether it was ever listed and is out now."""
+        if self.bans.full() and not self.bans.holds(provider):
+            return False
         if self.bans.knows(provider) and not self.bans.holds(provider):
             self.bans.take_out(provider)
             self.told(self.bans.change(provider))
@@ -208,7 +215,7 @@
         if attempt.standing or invocation.answered:
             consumer = self.forget(invocation)
             if attempt.standing:
-                if outcome == Outcome.RESET:
+                if outcome == Outcome.RESET and self.bans.knows(attempt.provider):
                     self.gauge.dropped(attempt.provider, self.clock())
                 if outcome != Outcome.OK:
                     self.gauge.guest(False, self.clock())
@@ -261,6 +268,8 @@
 
     def answered_in(self, attempt: Attempt, elapsed_ns: int) -> None:
         """A provider's reply to a consumer's message came after so long."""
+        if not self.bans.knows(attempt.provider):
+            return  # trimmed: nothing is kept under its name any more
         zone = self.zones.get(attempt.provider)
         far = zone if zone != self.settings.zone else None
         self.gauge.answered(attempt.provider, far, elapsed_ns, self.clock())
@@ -370,6 +379,25 @@
             self.contracts.release(invocation.tenant)
         return invocation.release()
 
+    def held(self, connections: int) -> dict[str, Held]:
+        """What is held; `connections` is the most that may be open or waiting at once."""
+        names, balancer = MOST_KNOWN + MOST_OUT, self.balancer
+        return {
+            "broker.invocations": Held(len(self.invocations), connections),
+            "broker.inbox": Held(len(self.inbox), 8 * connections + names),
+            "broker.zones": Held(len(self.zones), names),
+            "broker.starts": Held(len(self.starts), names),
+            "module.hosts": Held(len(balancer.hosts), names),
+            "module.hung": Held(len(balancer.hung), names),
+            "module.pending": Held(len(balancer.pending), connections),
+            "module.held": Held(len(balancer.held), connections),
+            "settings.classes": Held(
+                len(self.settings.classes), connections + 2 * len(self.settings.offered)
+            ),
+            **self.bans.held(),
+            **self.gauge.held(names),
+        }
+
     # ---- leaving ----------------------------------------------------------------------------
 
     def standing(self) -> list[Invocation]:
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -12,9 +12,12 @@
 from statistics import fmean, median
 from typing import NamedTuple
 
+from linnetshift.core.census import Held
+
 SECOND = 1_000_000_000
 KEPT_NS = 3 * SECOND // 2
 MOST_SAMPLES = 64
+MOST_ZONES = 256  # far zones whose distance is kept
 # Every provider that holds any of a group pays so many mean connection loads for it.
 GROUP_COST = 3.0
 # A provider's weight is its size in standard cores, and it has two. A message's work on a standard core is
@@ -75,9 +78,25 @@
         self.shed_at.pop(provider, None)
         self.samples.pop(provider, None)
 
+    def forget(self, provider: bytes) -> None:
+        """Its name is known no longer."""
+        self.restarted(provider)
+        self.weights.pop(provider, None)
+        self.slow.discard(provider)
+
+    def held(self, names: int) -> dict[str, Held]:
+        """`names` is the most that may be known at once."""
+        return {
+            "gauge.weights": Held(len(self.weights), names),
+            "gauge.samples": Held(len(self.samples), names),
+            "gauge.shed_at": Held(len(self.shed_at), names),
+            "gauge.slow": Held(len(self.slow), names),
+            "gauge.nearest": Held(len(self.nearest), MOST_ZONES),
+        }
+
     def answered(self, provider: bytes, zone: int | None, elapsed_ns: int, now: int) -> None:
         """`zone` is given where the way there takes long; a note tells the time at the provider alone."""
-        if zone is not None:
+        if zone is not None and (zone in self.nearest or len(self.nearest) < MOST_ZONES):
             least = self.nearest[zone] = min(self.nearest.get(zone, elapsed_ns), elapsed_ns)
             elapsed_ns -= least
         kept = self.samples.setdefault(provider, deque(maxlen=MOST_SAMPLES))
--- a/linnetshift/interface.py
+++ b/linnetshift/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, replace
 from enum import IntEnum
 from typing import Any, NamedTuple
@@ -205,10 +205,26 @@
     def offered(self) -> list[RequestClass]:
         return [self.classes[number] for number in self.numbers]
 
-    def following(self, former: Settings) -> Settings:
-        """With the numbers that classes had before; one whose rules are new gets a number of its own."""
+    def following(self, former: Settings, in_use: Collection[int] | None = None) -> Settings:
+        """With the numbers that classes had before; one whose rules are new gets a number of its own.
+
+        A number that is neither offered any more nor `in_use` (None: all are) is given anew, or each reload
+        with other rules would leave a class behind for good.
+        """
         classes = list(former.classes)
-        classes += [klass for klass in self.classes if klass not in classes]
+        kept = {classes.index(klass) for klass in self.classes if klass in classes}
+        used = range(len(classes)) if in_use is None else in_use
+        free = [n for n in range(len(classes)) if n not in kept and n not in used]
+        for klass in self.classes:
+            if klass in (classes[n] for n in kept):
+                continue
+            if free:
+                number = free.pop(0)
+                classes[number] = klass
+            else:
+                number = len(classes)
+                classes.append(klass)
+            kept.add(number)
         numbers = tuple(classes.index(klass) for klass in self.classes)
         return replace(self, classes=tuple(classes), numbers=numbers)
 
--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -15,6 +15,7 @@
 
 from linnetshift import interface as api
 from linnetshift.core.broker import Broker
+from linnetshift.core.census import Held
 from linnetshift.core.invocation import Invocation, Link
 from linnetshift.interface import Outcome
 from linnetshift.net import log, ssh
@@ -32,6 +33,8 @@
 WINDOW = 32_768  # what a consumer may have under way on a channel, and so what is kept for a slow provider
 PACKET_DATA = 16_384
 MOST_CHANNELS = 256
+MOST_OPEN = 8192  # of all sessions together
+CROWDED_MS = 1000
 MOST_UNSENT = 65_536  # with more than this unread by the consumer, nothing more is read from it
 HELD_NS = S  # what a consumer grants no window for is given up after this when the channel must end
 KEEPALIVE_NS, SILENT_BEATS = 15 * S, 3
@@ -452,6 +455,10 @@
         if self.front.leaving or len(self.channels) >= MOST_CHANNELS:
             self.refuse(remote, OpenFailure.RESOURCE_SHORTAGE, "come again after 0 ms")
             return
+        if self.front.open >= MOST_OPEN:
+            # A channel costs its opener nothing: without a bound, those that wait would fill memory.
+            self.refuse(remote, OpenFailure.RESOURCE_SHORTAGE, f"come again after {CROWDED_MS} ms")
+            return
         channel = Channel(self, next(self.numbers), remote, window, most)
         wait = wait_ms * MS or self.broker.settings.classes[place].deadline_ns
         head = f"OPEN {secrets.randbits(64):016x} {key:016x} c={klass},t={tenant},d="
@@ -471,6 +478,7 @@
             lambda left_ms: f"{head}{left_ms}{marks}\r\n".encode(),
         )
         self.channels[channel.number] = channel
+        self.front.open += 1
         self.front.strangers.remove(self)
         self.opened += 1
         self.broker.invoke(channel.invocation)
@@ -486,6 +494,7 @@
     def drop(self, channel: Channel) -> None:
         if self.channels.pop(channel.number, None) is None:
             return
+        self.front.open -= 1
         channel.pending.clear()
         if not self.channels and not self.stream.closed:
             self.front.strangers.add(self)  # until it asks for another
@@ -510,6 +519,7 @@
     def __init__(self, loop: Loop, broker: Broker, names: Names, strangers: Strangers) -> None:
         super().__init__(loop, broker, names, strangers)
         self.sessions: set[Session] = set()
+        self.open = 0  # channels of all sessions
 
     def take(self, sock: socket.socket, peer: Endpoint) -> None:
         session = Session(self, sock, peer)
@@ -530,5 +540,11 @@
         for session in self.sessions:
             session.post(Timeout("leave"))
 
+    def held(self, connections: int) -> dict[str, Held]:
+        return {
+            "channels.sessions": Held(len(self.sessions), connections),
+            "channels.open": Held(self.open, MOST_OPEN),
+        }
+
     def channels(self) -> list[Channel]:
         return [channel for session in self.sessions for channel in session.channels.values()]
--- a/linnetshift/net/config.py
+++ b/linnetshift/net/config.py
@@ -7,6 +7,7 @@
 import os
 import socket
 import tomllib
+from collections.abc import Collection
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -52,8 +53,13 @@
         check_keys(document[key], below, f"{path}{key}.")
 
 
-def read_config(path: str | None, former: Config | None = None) -> Config:
-    """Raises ConfigError; with `former`, where the file lacks what that one had, and with its numbers."""
+def read_config(
+    path: str | None, former: Config | None = None, in_use: Collection[int] | None = None
+) -> Config:
+    """Raises ConfigError; with `former`, where the file lacks what that one had, and with its numbers.
+
+    `in_use`: numbers of classes that something under way refers to; None where that is not known.
+    """
     if not path:
         raise ConfigError("GW_CONFIG does not name a configuration file")
     try:
@@ -71,7 +77,7 @@
         listen, directory = parse_endpoint(str(raw["listen"])), parse_endpoint(str(raw["discovery"]))
         settings = api.Settings.parse(raw["settings"])
         if former is not None:
-            settings = settings.following(former.settings)
+            settings = settings.following(former.settings, in_use)
         names = Names(raw["settings"], settings)
         return Config(
             name=str(raw.get("name", "")),
--- a/linnetshift/net/handover.py
+++ b/linnetshift/net/handover.py
@@ -9,23 +9,28 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import re
 import select
 import socket
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from itertools import count
+from types import MappingProxyType
 from typing import Any, NamedTuple, Protocol
 
 from linnetshift.contracts import Budget, Contracts
 from linnetshift.core.broker import Broker
+from linnetshift.core.census import Held
+from linnetshift.core.gauge import Standing
 from linnetshift.core.memory import remember
 from linnetshift.net import log
 from linnetshift.net.directory import Roster, read_list
-from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
+from linnetshift.net.limits import Reading
+from linnetshift.net.loop import MS, Io, Loop, S, Script, Timeout
 from linnetshift.net.platform import Names
 from linnetshift.net.stream import End, Stream
 
@@ -36,6 +41,8 @@
 MOST_STATE = 16 << 20
 MOST_LINE = 1 << 20  # of what follows the state
 MOST_FDS = 4
+MOST_STREAMS = 1 << 20
+MOST_UNANSWERED = 256  # bans that the other process has not confirmed; one that hangs is given up soon
 
 
 class Place:
@@ -137,6 +144,7 @@
         self.names = names
         self.active = self.state.get("active") is True
         self.roster: Roster | None = None
+        self.holdings = Holdings()
         descriptors = legacy.descriptors if legacy is not None else []
         passed = self.state.get("passed") or []
         self.sockets = {
@@ -148,6 +156,10 @@
                 self.roster = roster if roster.event.entries else None
             except ValueError as error:
                 log.note("inherited-list-unused", error=str(error))
+            try:
+                self.holdings = Holdings.read(self.state.get("holdings", {}))
+            except MEANINGLESS as error:
+                log.note("inheritance-unused", error=f"{type(error).__name__}: {log.words(error)}")
 
     def restore(self, broker: Broker) -> None:
         """Before the list is told."""
@@ -172,6 +184,59 @@
             log.note("memory-unused", error=f"{type(error).__name__}: {error}")
 
 
+MEANINGLESS = (AttributeError, KeyError, OverflowError, RecursionError, TypeError, ValueError)
+
+
+class Holdings(NamedTuple):
+    """What another process of this proxy holds meanwhile, which counts together with what this one does."""
+
+    streams: int = 0  # descriptors
+    moved: int = 0  # consumers told to move, ever
+    loads: Mapping[bytes, list[Standing]] = MappingProxyType({})  # by provider
+
+    @classmethod
+    def read(cls, told: dict[str, Any]) -> Holdings:
+        """Raises one of MEANINGLESS where it makes no sense."""
+        streams, moved = int(told.get("streams", 0)), int(told.get("moved", 0))
+        loads = {
+            provider.encode(): [
+                Standing(None if load is None else float(load), int(group), 0) for load, group in held
+            ]
+            for provider, held in told.get("loads", {}).items()
+        }
+        known = [one.load for held in loads.values() for one in held if one.load is not None]
+        if not 0 <= streams <= MOST_STREAMS or not 0 <= moved < 1 << 62:
+            raise ValueError("impossible holdings")
+        if not all(math.isfinite(load) and load >= 0.0 for load in known):
+            raise ValueError("impossible load")
+        return cls(streams, moved, loads)
+
+
+class Said(NamedTuple):
+    """One line of another process, read whole before anything is done of it."""
+
+    say: str
+    provider: bytes = b""
+    out: bool = False
+    number: int = 0
+    holdings: Holdings = Holdings()
+
+    @classmethod
+    def read(cls, line: bytes | bytearray) -> Said:
+        """Raises one of MEANINGLESS where it makes no sense."""
+        told = json.loads(line)
+        match told["say"]:
+            case "ban":
+                return cls("ban", str(told["provider"]).encode(), bool(told["out"]), int(told["number"]))
+            case "held":
+                return cls("held", number=int(told["number"]))
+            case "beat":
+                return cls("beat", holdings=Holdings.read(told))
+            case str(say):
+                return cls(say)
+        raise ValueError("says nothing")
+
+
 class Program(Protocol):
     """What the process on this side does at the other's word."""
 
@@ -187,14 +252,12 @@
     def holdings(self) -> dict[str, Any]:
         """What counts together while both live."""
 
-    def holds_beside(self, holdings: dict[str, Any]) -> None: ...
+    def holds_beside(self, holdings: Holdings) -> None: ...
 
 
-class Beside(Actor):
+class Beside(Reading):
     """The process that this one replaces, or the one that replaces it."""
 
-    stream: Stream
-
     def __init__(self, succession: Succession, sock: socket.socket, legacy: Legacy | None = None) -> None:
         loop = succession.loop
         super().__init__(loop)
@@ -210,22 +273,24 @@
         self.alarm(HELLO_NS, "hello")
         self.alarm(BEAT_NS, "beat")
         end: End | None = None
-        while end is None and not self.stream.broken:
-            self.heed_lines()
+        while end is None and not self.stream.broken and self.heed_lines():
             match (yield):
                 case Io(mask):
                     if mask & select.EPOLLOUT:
                         self.stream.flush()
+                        self.look_for_stall()
                     end = self.stream.fill()
                     self.read += self.stream.rest()
                     if len(self.read) > MOST_LINE:
                         break
                 case Timeout(tag="beat"):
-                    if self.met:
+                    if self.met and not self.stream.congested:  # one that hangs would fill memory with them
                         self.say("beat", **self.program.holdings())
                     self.alarm(BEAT_NS, "beat")
                 case Timeout(tag="hello") if not self.met:
                     break
+                case Timeout(tag="stalled") if self.stalled():
+                    break
         self.part()
 
     def faulted(self, error: Exception) -> None:
@@ -242,24 +307,31 @@
 
     def say(self, say: str, **more: object) -> None:
         self.stream.send(encode(say, **more))
+        self.look_for_stall()
 
     def ban(self, provider: bytes, out: bool, done: Callable[[], None]) -> None:
         """Have the other process hold it too; `done` once it does, or is gone."""
-        if self.script is None or not self.met:
-            done()  # it will be in the state
+        if self.script is None or not self.met or len(self.unanswered) >= MOST_UNANSWERED:
+            done()  # it will be in the state, or in that of whoever replaces one that hangs
             return
         number = next(self.numbers)
         self.unanswered[number] = done
         self.say("ban", provider=provider.decode(), out=out, number=number)
 
-    def heed_lines(self) -> None:
+    def heed_lines(self) -> bool:
+        """Whether all of it could be read: one that speaks otherwise is of another version."""
         while (size := self.read.find(b"\n") + 1) > 0:
-            line = json.loads(self.read[:size])
+            try:
+                said = Said.read(self.read[:size])
+            except MEANINGLESS as error:
+                log.note("beside-unread", error=f"{type(error).__name__}: {log.words(error)}")
+                return False
             del self.read[:size]
-            self.heed(line)
+            self.heed(said)
+        return True
 
-    def heed(self, line: dict[str, Any]) -> None:
-        match line["say"]:
+    def heed(self, said: Said) -> None:
+        match said.say:
             case "hello" if not self.met:
                 state, descriptors = self.program.state()
                 if descriptors:  # they need a byte to travel with; blanks before the state mean nothing
@@ -272,14 +344,13 @@
             case "stopped" if self.older:
                 self.succession.joined()
             case "ban":
-                number, provider = line["number"], line["provider"].encode()
-                held = partial(self.say, "held", number=number)
-                self.succession.ban(provider, bool(line["out"]), held, self)
+                held = partial(self.say, "held", number=said.number)
+                self.succession.ban(said.provider, said.out, held, self)
             case "held":
-                if (done := self.unanswered.pop(line["number"], None)) is not None:
+                if (done := self.unanswered.pop(said.number, None)) is not None:
                     done()
             case "beat":
-                self.program.holds_beside(line)
+                self.program.holds_beside(said.holdings)
 
 
 class Meeting:
@@ -349,6 +420,13 @@
         self.besides.append(newer)
         newer.start(newer.live())
 
+    def held(self) -> dict[str, Held]:
+        waiting = sum(len(beside.unanswered) for beside in self.besides)
+        return {
+            "besides": Held(len(self.besides), 2),
+            "besides.unanswered": Held(waiting, 2 * MOST_UNANSWERED),
+        }
+
     def joined(self) -> None:
         self.joining = False
 
@@ -361,7 +439,7 @@
     def parted(self, beside: Beside) -> None:
         if beside in self.besides:
             self.besides.remove(beside)
-        self.program.holds_beside({})
+        self.program.holds_beside(Holdings())
         if beside.older:
             log.note("older-gone")
             self.joined()
--- a/linnetshift/net/limits.py
+++ b/linnetshift/net/limits.py
@@ -9,6 +9,7 @@
 import resource
 from typing import Protocol
 
+from linnetshift.core.census import Held
 from linnetshift.net.loop import MS, Actor, Loop, S, Timer
 from linnetshift.net.stream import Stream
 
@@ -65,6 +66,7 @@
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         known = [limit for limit in (sockets, soft) if limit > 0]  # no limit is told as 0 or -1
         self.most = min(known) - max(LEAST_SPARE, min(known) // SPARE_PART) if known else 1 << 30
+        self.descriptors = min(known) if known else 1 << 30
         self.told: dict[Stranger, None] = {}  # they asked, were answered, and stay
         self.quiet: dict[Stranger, None] = {}  # the longest quiet first
         self.talking: dict[Stranger, None] = {}  # their line comes in pieces
@@ -99,6 +101,9 @@
         for group in (self.told, self.quiet, self.talking):
             group.pop(stranger, None)
 
+    def held(self, connections: int) -> dict[str, Held]:
+        return {"strangers": Held(self.count(), connections)}
+
     def make_room(self) -> bool:
         """End the one that can best be missed; whether there was one."""
         stranger = next((one for group in (self.told, self.quiet, self.talking) for one in group), None)
--- a/linnetshift/net/loop.py
+++ b/linnetshift/net/loop.py
@@ -10,6 +10,8 @@
 from itertools import count
 from typing import Any, NamedTuple, Protocol
 
+from linnetshift.core.census import Held
+
 Script = Generator[None, Any, None]
 Handler = Callable[[int], None]
 
@@ -191,6 +193,16 @@
             heapq.heapify(self.timers)
             self.dead = 0
 
+    def held(self, connections: int) -> dict[str, Held]:
+        """`connections` is the most that may be open at once; each has a few timers."""
+        live = len(self.timers) - self.dead
+        return {
+            "loop.handlers": Held(len(self.handlers), 2 * connections),
+            "loop.ready": Held(len(self.ready), 2 * connections),
+            "loop.timers": Held(live, 8 * connections),
+            "loop.dead-timers": Held(self.dead, max(FEW, live + 1)),
+        }
+
     def watch(self, fd: int, mask: int, handler: Handler) -> None:
         if fd in self.handlers:
             self.epoll.modify(fd, mask)
--- a/linnetshift/net/ops.py
+++ b/linnetshift/net/ops.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import select
 import socket
@@ -16,6 +17,7 @@
 
 import h11
 
+from linnetshift.core.census import Held
 from linnetshift.net import log
 from linnetshift.net.log import MOST_TOLD, Reason
 from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
@@ -30,7 +32,8 @@
 RESERVED = 4  # descriptors that consumers cannot take
 MOST_HEAD, MOST_BODY = 4096, 4096
 READINESS, DOWN, UP = "/ops/readiness", "/ops/servers/down", "/ops/servers/up"
-METHODS = {READINESS: ("GET", "HEAD"), DOWN: ("PUT",), UP: ("PUT",)}
+CENSUS = "/ops/census"
+METHODS = {READINESS: ("GET", "HEAD"), CENSUS: ("GET", "HEAD"), DOWN: ("PUT",), UP: ("PUT",)}
 
 
 class Operations(Protocol):
@@ -39,6 +42,12 @@
     def readiness(self) -> str:
         """Why no consumer is taken at the moment; empty when they are."""
 
+    def census(self) -> dict[str, Held]:
+        """How much the program holds of everything, and how much it may."""
+
+    def crowded(self, provider: bytes) -> bool:
+        """Whether so many are out that this one cannot be taken out too."""
+
     def set_out(self, provider: bytes, out: bool, done: Callable[[bool], None]) -> None:
         """Take a provider out or call it back; `done` hears, once that is acted on, whether it is known."""
 
@@ -78,6 +87,7 @@
             reason = Reason.SLOW_OPENER if answer.status == 408 else Reason.ANSWERED
             self.reply(answer)
             self.stream.finish()
+            self.door.answered(self)
             yield from linger(self, self.stream, self.began + CALL_NS)
         self.stream.close()
         self.report(reason, answer.status if answer is not None else 0)
@@ -90,6 +100,7 @@
         self.report(Reason.FAULT, 500)
 
     def report(self, reason: Reason, status: int) -> None:
+        self.door.lingering.pop(self, None)
         self.door.refill()
         log.ended(
             "operator",
@@ -105,6 +116,11 @@
         self.door.callers.pop(self, None)
         self.post(Stop())
 
+    def leave(self) -> None:
+        """It has its answer and keeps its side open, while others want the place."""
+        self.stream.close()
+        self.post(Stop())
+
     def call(self) -> Steps:
         """The answer to the one call; None where the peer ended without asking anything."""
         target, size, ended = None, 0, self.read()
@@ -158,10 +174,15 @@
         if split.path == READINESS:
             why_not = self.door.operations.readiness()
             return Answer(503 if why_not else 200, why_not or "taking consumers")
+        if split.path == CENSUS:
+            told = {name: held._asdict() for name, held in self.door.operations.census().items()}
+            return Answer(200, json.dumps(told, indent=1))
         ids = parse_qs(split.query).get("id", [])
         if len(ids) != 1:
             return Answer(400, "give one id, as in ?id=ID")
         out = split.path == DOWN
+        if out and self.door.operations.crowded(ids[0].encode()):
+            return Answer(507, "too many are out already; call some back first")
         self.alarm(ACT_NS, "act")
         self.door.operations.set_out(ids[0].encode(), out, lambda known: self.post(Done(known)))
         while True:
@@ -202,6 +223,7 @@
     def __init__(self, loop: Loop, operations: Operations) -> None:
         self.loop, self.operations = loop, operations
         self.callers: dict[Caller, None] = {}  # those whose call is not finished, the oldest first
+        self.lingering: dict[Caller, None] = {}  # answered, and not gone yet
         self.acceptor: Acceptor | None = None
         self.reserve: list[int] = []  # descriptors held for callers, whatever consumers take
 
@@ -236,6 +258,20 @@
         if acceptor is not None:
             self.refill()
 
+    def answered(self, caller: Caller) -> None:
+        if len(self.lingering) >= MOST_CALLERS:
+            oldest = next(iter(self.lingering))
+            del self.lingering[oldest]
+            oldest.leave()
+        self.lingering[caller] = None
+
+    def held(self) -> dict[str, Held]:
+        return {
+            "door.callers": Held(len(self.callers), MOST_CALLERS + 1),
+            "door.lingering": Held(len(self.lingering), MOST_CALLERS),
+            "door.reserve": Held(len(self.reserve), RESERVED),
+        }
+
     def take(self, sock: socket.socket, peer: Endpoint) -> None:
         if len(self.callers) >= MOST_CALLERS:
             next(iter(self.callers)).shed()
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -10,6 +10,7 @@
 
 from linnetshift import interface as api
 from linnetshift.core.broker import Broker
+from linnetshift.core.census import Held
 from linnetshift.core.invocation import Invocation
 from linnetshift.interface import Outcome
 from linnetshift.net import log
@@ -532,6 +533,12 @@
         consumer = PlatformConsumer(self, sock, peer)
         consumer.start(consumer.live())
 
+    def held(self, connections: int) -> dict[str, Held]:
+        return {
+            "platform.consumers": Held(len(self.consumers), connections),
+            "platform.ids": Held(len(self.ids), connections),
+        }
+
     def readiness(self, asked: bytes) -> bytes:
         if not asked.startswith(b"PING"):
             return b"NO\r\n"
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -11,6 +11,7 @@
 
 from linnetshift import interface as api
 from linnetshift.core.broker import Broker
+from linnetshift.core.census import Held
 from linnetshift.core.invocation import Attempt
 from linnetshift.interface import HostState, ListForm, Outcome
 from linnetshift.net import log
@@ -80,7 +81,8 @@
         while stream.connecting:
             match (yield):
                 case Io():
-                    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                    # Given up in the very turn in which it came up, it is closed before this is read.
+                    if stream.closed or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                         return False
                     stream.connecting = False
                     stream.arm()
@@ -392,6 +394,9 @@
             if entry.state == HostState.GONE:
                 self.endpoints.pop(entry.host, None)
 
+    def held(self, names: int) -> dict[str, Held]:
+        return {"gate.endpoints": Held(len(self.endpoints), names)}
+
     def open(self, attempt: Attempt) -> None:
         assert self.broker is not None
         endpoint = self.endpoints.get(attempt.provider)
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -186,7 +186,7 @@
                         since = int(asked["since"][0])
                         outer.news.wait_for(lambda: outer.rev > since or outer.failing, wait)
                     told = outer.instead.pop() if outer.instead else outer.listing()
-                    body = json.dumps(told).encode()
+                    body = told if isinstance(told, bytes) else json.dumps(told).encode()
                 self.send_response(503 if outer.failing else 200)
                 self.send_header("Content-Length", str(len(body)))
                 with suppress(ConnectionError):  # the proxy is gone at a test's end
@@ -212,7 +212,7 @@
             self.news.notify_all()
 
     def says(self, answer: object) -> None:
-        """This once, in place of the list."""
+        """This once, in place of the list; bytes as they are."""
         with self.news:
             self.instead.append(answer)
             self.rev += 1
@@ -285,6 +285,24 @@
         conn = self.client(call.encode() + b" HTTP/1.1\r\nHost: x\r\n\r\n", self.admin_port)
         return int(conn.line().split()[1])
 
+    def census(self) -> dict[str, Any]:
+        """What the program holds, by container."""
+        conn = self.client(b"GET /ops/census HTTP/1.1\r\nHost: x\r\n\r\n", self.admin_port)
+        while conn.line().strip():
+            pass
+        text = b""
+        while line := conn.line():
+            text += line
+        told: dict[str, Any] = json.loads(text)
+        return told
+
+    def unread(self) -> list[str]:
+        """The log lines that have come since the last look."""
+        lines = []
+        while not self.lines.empty():
+            lines.append(self.lines.get())
+        return lines
+
     def becomes_ready(self) -> None:
         """A process that takes over says yes only when it alone accepts."""
         until = time.monotonic() + WAIT
--- a/tests/test_ended.py
+++ b/tests/test_ended.py
@@ -10,6 +10,7 @@
 import weakref
 from collections import Counter
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -181,6 +182,15 @@
     terminal.close("reset")
 
 
+def session_reads_nothing(one: Inside) -> None:
+    # A channel whose turn is due holds its session, which holds the turns.
+    terminal, _, provider = channel(one)
+    provider.sock.settimeout(0.5)  # type: ignore[attr-defined]
+    with suppress(TimeoutError):
+        provider.send(b"M 1\r\n" * (1 << 22))  # type: ignore[attr-defined]
+    terminal.close("reset")
+
+
 def session_breaks_the_protocol(one: Inside) -> None:
     terminal, _, provider = channel(one)
     terminal.send(b"\xff" * 64)
@@ -219,6 +229,7 @@
         session_leaves,
         channel_closes,
         channel_without_window,
+        session_reads_nothing,
         session_breaks_the_protocol,
         session_stops_in_a_packet,
         operator_calls,
@@ -376,6 +387,11 @@
     for _ in range(5):
         sender = threading.Thread(target=provider.send, args=(much,))  # type: ignore[attr-defined]
         sender.start()
+        (reading,) = one.program.front.consumers
+        until = time.monotonic() + WAIT
+        while not reading.congested:
+            assert time.monotonic() < until
+            time.sleep(0.001)
         left = len(much)
         while left > 0:
             got = len(consumer.sock.recv(1 << 20))  # type: ignore[attr-defined]
