--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -5,6 +5,7 @@
 import json
 import os
 import queue
+import random
 import re
 import select
 import signal
@@ -337,9 +338,11 @@
 
 
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        port: int = sock.getsockname()[1]
-    return port
+    """Below the ports that the kernel gives to outgoing connections, one of which might take it meanwhile."""
+    while True:
+        port = random.SystemRandom().randrange(12_000, 32_000)
+        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
 
 
 def settings(**changes: Any) -> dict[str, Any]:
