--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -9,7 +9,7 @@
 
 import pytest
 from conftest import MS, entry, host, listed, raw_settings
-from proxy import ROOT, WAIT, inside, proxy
+from proxy import ROOT, WAIT, Terminal, inside, proxy
 from test_broker import Around
 
 from linnetshift import interface as api
@@ -17,7 +17,7 @@
 from linnetshift.core.bans import Bans
 from linnetshift.core.census import Held, over
 from linnetshift.interface import HostState, ListForm, Settings
-from linnetshift.net import handover, limits, ops
+from linnetshift.net import channels, handover, limits, ops
 from linnetshift.net.handover import Beside
 from linnetshift.net.loop import Loop
 
@@ -126,6 +126,28 @@
             assert over(running.program.door.held()) == []
 
 
+def test_channels_that_wait_are_bounded_over_all_sessions(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A channel costs its opener nothing, and a waiting one no descriptor here: sessions times 256 would fit.
+    monkeypatch.setattr(channels, "MOST_OPEN", 2)
+    own = '[channels]\nenabled = true\nlisten = "127.0.0.1:PORT"\n'
+    with inside(tmp_path, own=own) as running:
+        first, second = Terminal(running.extra_port), Terminal(running.extra_port)
+        first.open(1, wait_ms=60_000)
+        second.open(2, wait_ms=60_000)
+        attempts = [running.listeners[0].accept() for _ in range(2)]
+        second.open(3)
+        assert b"come again after 1000 ms" in second.expect(92, 3, 4)
+        first.close()
+        assert attempts[0].line() and attempts[1].line()
+        while running.program.channels.open > 1:
+            time.sleep(0.01)
+        second.open(4)
+        running.listeners[0].serve()
+        second.confirmed(4)
+
+
 def test_a_process_beside_this_one_that_hangs_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
     # What it was told twice a second piled up for as long as it hung.
     monkeypatch.setattr(handover, "BEAT_NS", MS)
