Read the message times that providers tell, which were taken for tiny loads

Change: a figure under 500, or one under 10,000 a second after another small one, is the provider's message time and goes to the module as its slow note; the review keeps it for 2 s.

--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -275,6 +275,13 @@
         self.gauge.answered(attempt.provider, far, elapsed_ns, self.clock())
 
     def load_told(self, attempt: Attempt, load: float) -> None:
+        """The connection's load, or the time that messages take at the provider: the figure tells which."""
+        provider = attempt.provider
+        if not self.bans.knows(provider):
+            return  # trimmed: nothing is kept under its name any more
+        if self.settings.tells_delay and self.gauge.tells_time(provider, load, self.clock()):
+            self.note(attempt, api.SLOW_NOTE, load)
+            return
         attempt.load = load
         self.note(attempt, api.LOAD_NOTE, load)
 
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -29,6 +29,13 @@
 # reply. So long it counts as slow, though short of late: most of its peers may be fine.
 SHED_NS, SHED_MS = 10 * SECOND, 40.0
 SILENT_AS_NS = int(SHED_MS * 1e6)
+# Some providers tell their message time too, in a line of the same form as a connection's load: in
+# milliseconds, once a second on one connection of each proxy while it is slow, and once more when it is not
+# any longer. A usual connection asks a hundred times as much as the first figure in microseconds, so what is
+# less is such a time. A larger one up to the second figure is one if it comes a second after a small figure.
+SURELY_TIME, MAYBE_TIME = 500.0, 10_000.0
+EVERY_NS, GIVE_NS = SECOND, 30_000_000
+TOLD_NS = 2 * SECOND  # for how long a time that was told holds
 
 
 # Heavy connections are the first to tell their load. Before half have told, their mean says nothing of the
@@ -57,6 +64,10 @@
         self.slow: set[bytes] = set()
         self.elsewhere: dict[bytes, list[Standing]] = {}  # what this proxy's other process holds
         self.shed_at: dict[bytes, int] = {}
+        self.small_at: dict[bytes, int] = {}  # when a figure that may be a time was last told
+        self.told_times: dict[
+            bytes, tuple[int, float]
+        ] = {}  # when a provider told its message time, and that
 
     def configure(self, shortest_aim_ns: int, proxies: int) -> None:
         self.slow_ns, self.proxies = shortest_aim_ns // 3, proxies
@@ -65,6 +76,18 @@
         """It reset a connection that stood."""
         self.shed_at[provider] = now
 
+    def tells_time(self, provider: bytes, value: float, now: int) -> bool:
+        """Whether a figure that was told is the provider's message time and not a connection's load."""
+        if value >= MAYBE_TIME:
+            return False
+        since, self.small_at[provider] = now - self.small_at.get(provider, 0), now
+        if value >= SURELY_TIME and abs(since - EVERY_NS) > GIVE_NS:
+            return False
+        self.told_times[provider] = now, value * 1e6
+        if value * 1e6 > self.slow_ns:
+            self.slow.add(provider)
+        return True
+
     def guest(self, came: bool, now: int) -> None:
         """A consumer came back after a break, or was sent away and will come back somewhere.
 
@@ -75,8 +98,8 @@
 
     def restarted(self, provider: bytes) -> None:
         """What was known of the old process says nothing of the new one."""
-        self.shed_at.pop(provider, None)
-        self.samples.pop(provider, None)
+        for known in (self.shed_at, self.samples, self.small_at, self.told_times):
+            known.pop(provider, None)
 
     def forget(self, provider: bytes) -> None:
         """Its name is known no longer."""
@@ -90,6 +113,8 @@
             "gauge.weights": Held(len(self.weights), names),
             "gauge.samples": Held(len(self.samples), names),
             "gauge.shed_at": Held(len(self.shed_at), names),
+            "gauge.small_at": Held(len(self.small_at), names),
+            "gauge.told_times": Held(len(self.told_times), names),
             "gauge.slow": Held(len(self.slow), names),
             "gauge.nearest": Held(len(self.nearest), MOST_ZONES),
         }
@@ -119,6 +144,9 @@
         notes = []
         for provider, held in standing.items():
             took = max(self.timed(provider, held, now), self.reckoned(provider, held, usual))
+            told_at, time = self.told_times.get(provider, (0, 0.0))
+            if now - told_at < TOLD_NS:
+                took = max(took, time)
             if provider in self.shed_at:
                 took = max(took, SHED_MS * 1e6)
             if took > self.slow_ns:
@@ -129,7 +157,9 @@
                 continue
             notes.append((provider, took / 1e6))
         self.slow &= standing.keys()
-        self.samples = {provider: kept for provider, kept in self.samples.items() if provider in standing}
+        for known in (self.samples, self.small_at, self.told_times):
+            for provider in known.keys() - standing.keys():
+                del known[provider]
         return notes
 
     def timed(self, provider: bytes, held: Iterable[Standing], now: int) -> float:
--- a/tests/test_gauge.py
+++ b/tests/test_gauge.py
@@ -99,3 +99,40 @@
     heavy = [Standing(400_000.0, 1, 0)] * 2
     assert not made.review({HERE: heavy + [Standing(None, 1, 0)] * 10}, 1 * S)
     assert made.review({HERE: heavy * 6}, 1 * S)
+
+
+@pytest.mark.parametrize(
+    "figures, times",
+    [
+        # Seen in a fleet of 40 proxies: the same small figure at each of them at once, a second apart, while
+        # no message was answered in time. Taken for loads, they made a jammed provider look idle.
+        (
+            [(0, 89.5), (1000, 237.3), (2001, 609.0), (3000, 1055.5), (4000, 5.7)],
+            [89.5, 237.3, 609.0, 1055.5, 5.7],
+        ),
+        (
+            [(0, 1551.7), (1001, 1628.7)],
+            [1628.7],
+        ),  # one that was jammed long before its first connection here
+        (
+            [(0, 2512.7), (4200, 2512.7), (5000, 70_000.0), (6000, 43_868.9)],
+            [],
+        ),  # idle ones' loads, and usual ones
+    ],
+)
+def test_a_small_figure_a_second_after_another_is_a_message_time(
+    figures: list[tuple[int, float]], times: list[float]
+) -> None:
+    made = gauge()
+    assert [value for at, value in figures if made.tells_time(HERE, value, (9000 + at) * MS)] == times
+
+
+def test_a_told_message_time_holds_until_the_next() -> None:
+    made = gauge()
+    assert made.tells_time(HERE, 89.5, 5 * S)
+    assert made.review(asking(None, 1), 5 * S + 900 * MS) == [(HERE, 89.5)]
+    assert made.tells_time(HERE, 4.0, 6 * S)
+    made.review(asking(None, 1), 6 * S + 900 * MS)
+    assert not made.review(asking(None, 1), 7 * S + 900 * MS)
+    made.restarted(HERE)
+    assert not made.told_times
