Ask a host before a node that has few connections places one there

Seen: with 40 proxies and 55 to 130 connections each proxy stands at one or two of eight hosts, and hears message times from those alone.

Checked: what PING tells. Answers took 0 to 20 ms at sound hosts, 40 to 160 ms and none in 200 ms at the jammed one while its message time was 240 to 470 ms; hosts that drain answer ERR up to 1.4 s before the list says so. So a probe waits in the host's queue here, and sees a jam and a drain early. At fault: Balancer.probe_first, which asked only where reports have a load column.

Change: a node that has no connection at a host, and fewer connections than there are hosts, asks before it places there; an answer slower than two thirds of the message aim passes the host over as a slow note does. The time to connect is left out of what a probe tells. Every probe leaves a log line. The events of the module go by a table, which frees the lines.

--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -299,6 +299,13 @@
 
 
 NOT_YET = Outcome.MOOT
+PROBED = {
+    Outcome.OK: Reason.ANSWERED,
+    Outcome.ERROR: Reason.ERROR,
+    Outcome.RESET: Reason.PROVIDER_RESET,
+    Outcome.TIMEOUT: Reason.TIMED_OUT,
+    Outcome.CONNECT_FAILED: Reason.UNREACHABLE,
+}
 ANSWERS = {
     b"ERR": (Reason.ERROR, Outcome.ERROR),
     b"BUSY": (Reason.TURNED_AWAY, Outcome.FULL),
@@ -335,23 +342,29 @@
 class Prober(Dialing):
     """One probe of a provider."""
 
-    def __init__(self, loop: Loop, told: Callable[[Outcome, int], None]) -> None:
+    def __init__(self, loop: Loop, provider: bytes, told: Callable[[Outcome, int], None]) -> None:
         super().__init__(loop)
-        self.told, self.began = told, loop.now()
+        self.provider, self.told, self.began = provider, told, loop.now()
 
     def live(self, endpoint: Endpoint) -> Script:
         outcome = Outcome.CONNECT_FAILED
         up = yield from self.connect(endpoint, PROBE_NS)
         stream = self.stream
         if up and stream is not None:
+            self.began = self.loop.now()  # the time to connect, twice the way there and back, is the way's
             stream.send(b"PING\r\n")
             outcome = yield from self.answer(stream)
         if stream is not None:
             stream.close()
-        self.told(outcome, self.loop.now() - self.began)
+        self.report(outcome)
 
     def gave_up(self) -> None:
-        self.told(Outcome.ERROR, self.loop.now() - self.began)
+        self.report(Outcome.ERROR)
+
+    def report(self, outcome: Outcome) -> None:
+        took = self.loop.now() - self.began
+        log.ended("probe", PROBED[outcome], provider=self.provider.decode("utf-8", "replace"), ms=took // MS)
+        self.told(outcome, took)
 
     def answer(self, stream: Stream) -> Steps:
         timer = self.alarm(PROBE_NS, "probe")
@@ -414,7 +427,7 @@
             # One that was taken out is asked nothing; FULL is what says nothing of a provider.
             broker.probed(provider, Outcome.CONNECT_FAILED if endpoint is None else Outcome.FULL, 0, ())
             return
-        prober = Prober(self.loop, lambda outcome, ns: broker.probed(provider, outcome, ns, ()))
+        prober = Prober(self.loop, provider, lambda outcome, ns: broker.probed(provider, outcome, ns, ()))
         prober.start(prober.live(endpoint))
 
 
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -85,6 +85,20 @@
     return result
 
 
+HEARD_BY: dict[type, str] = {
+    api.Note: "on_note",
+    api.Request: "on_request",
+    api.AttemptEnded: "on_ended",
+    api.Established: "on_established",
+    api.HostList: "on_list",
+    api.TimerFired: "on_timer",
+    api.Withdrawn: "on_withdrawn",
+    api.Adopted: "on_adopted",
+    api.ProbeResult: "on_probed",
+    api.PeerMessage: "on_peer",
+}
+
+
 @dataclass(slots=True, eq=False)
 class Host:
     """What this node knows of one host."""
@@ -184,32 +198,13 @@
         self.load_column = columns.index("x0") if settings.may_probe and "x0" in columns else -1
         self.held_column = columns.index("outstanding") if "outstanding" in columns else -1
         self.tick_ns = min(c.aim_ns for c in settings.offered) // 8
+        self.message_aim = min(c.message_aim_ns for c in settings.offered)
 
     def step(self, now_ns: int, events: Sequence[api.Event]) -> list[api.Action]:
         self.now = max(self.now, now_ns)  # a clock that steps back must not revive past deadlines
         self.out = []
         for event in events:
-            match event:
-                case api.Note():
-                    self.on_note(event)
-                case api.Request():
-                    self.on_request(event)
-                case api.AttemptEnded():
-                    self.on_ended(event)
-                case api.Established():
-                    self.on_established(event)
-                case api.HostList():
-                    self.on_list(event)
-                case api.TimerFired():
-                    self.on_timer(event.token)
-                case api.Withdrawn():
-                    self.on_withdrawn(event.request)
-                case api.Adopted():
-                    self.on_adopted(event)
-                case api.ProbeResult():
-                    self.on_probed(event)
-                case api.PeerMessage():
-                    self.on_peer(event)
+            getattr(self, HEARD_BY[type(event)])(event)
         if self.settings.must_ask and not self.asked:
             self.asked = True
             self.out.append(api.Watch(True))
@@ -270,12 +265,12 @@
         self.ask_token = (self.ask_token + 1) & 0xFFFF
         self.out.append(api.SetTimer(int(wait), self.ask_token))
 
-    def on_timer(self, token: int) -> None:
-        if token == TICK_TOKEN:
+    def on_timer(self, event: api.TimerFired) -> None:
+        if event.token == TICK_TOKEN:
             self.ticking = False
             self.leave_hung()
             self.retry_held()
-        elif token == self.ask_token:
+        elif event.token == self.ask_token:
             self.out.append(api.Watch(True))
 
     # ---- ranking ----------------------------------------------------------------------------
@@ -364,8 +359,13 @@
         return host.load + (host.sends + host.sends_before / 2) * others * self.load_each
 
     def probe_first(self, host: Host, item: Pending) -> bool:
-        """Ask a host for its load before a connection is placed there, where reports come by probes only."""
-        if self.load_column < 0 or self.now - host.load_at < PROBE_FRESH_NS or item.probes >= PROBES_EACH:
+        """Ask a host before a connection is placed there, unless what stands there tells of it already.
+
+        Of many nodes each has fewer connections than there are hosts: a jam or a loss is new to every one.
+        """
+        told = self.load_column < 0 and (host.standing or len(self.pending) > len(self.hosts))
+        known = told or self.now - host.load_at < PROBE_FRESH_NS or item.probes >= PROBES_EACH
+        if not self.settings.may_probe or known:
             return False
         if not host.probe_at:
             item.probes += 1
@@ -388,7 +388,9 @@
                 self.strike(host, overload=event.outcome != Outcome.CONNECT_FAILED)
             self.retry_held()
             return
-        host.load_at = self.now  # an answer without figures still says that it answers
+        host.load_at = self.now  # an answer without figures still says that it answers, and how soon
+        if event.elapsed_ns * 3 >= self.message_aim * 2 > 0:
+            host.hot_until = self.now + NOTE_NS
         if asked >= host.started and len(report) == len(self.settings.report_columns):
             load = report[self.load_column] if self.load_column >= 0 else -1.0
             if 0.0 <= load < 1e6:
@@ -477,7 +479,7 @@
             if (item := self.pending.get(event.request)) is not None:
                 item.load = event.value * 1e3
         elif event.kind == api.SLOW_NOTE:
-            value, aim = event.value * 1e6, min(c.message_aim_ns for c in self.settings.offered)
+            value, aim = event.value * 1e6, self.message_aim
             host.hot_until = self.now + NOTE_NS if value * 3 >= aim else 0
             one_in_all = self.random.random() * self.settings.balancers < 1.0
             if host.hot_until and self.settings.may_tell_peers and one_in_all:
@@ -734,6 +736,6 @@
             item.window = self.now - event.elapsed_ns + item.klass.window_ns
         self.place(item)
 
-    def on_withdrawn(self, request: int) -> None:
-        if request in self.pending:
-            self.finish(self.pending[request])
+    def on_withdrawn(self, event: api.Withdrawn) -> None:
+        if event.request in self.pending:
+            self.finish(self.pending[event.request])
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,109 @@
+"""Many nodes in one process on one time line: what each does alone, counted over all of them.
+
+Hosts answer by a script: whether they let connections stand, and how long a probe waits there. A client goes
+to whichever node the line names; nodes hear only of what was theirs.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter, deque
+from itertools import count
+
+from conftest import MS, S, listed, raw_settings
+
+from linnetshift import interface as api
+from linnetshift.interface import Outcome
+from linnetshift.policy import Balancer
+
+ANSWER_NS = 1 * MS  # a sound host's
+
+
+class Fleet:
+    def __init__(self, nodes: int, hosts: tuple[api.HostEntry, ...], **changes: object) -> None:
+        settings = [raw_settings(**{**changes, "myNumber": n, "balancers": nodes}) for n in range(nodes)]
+        self.nodes = [Balancer(api.Settings.parse(raw), seed=n + 1) for n, raw in enumerate(settings)]
+        self.now, self.order, self.numbers = 1 * S, count(), count(1)
+        self.due: list[tuple[int, int, int, api.Event]] = []
+        self.dead: set[bytes] = set()  # connections there never come up
+        self.erring: set[bytes] = set()  # answer everything with an error
+        self.waits: dict[bytes, int] = {}  # how long a probe waits at a jammed host
+        self.sends: list[tuple[int, int, int, bytes]] = []  # time, node, request, host
+        self.probes: list[tuple[int, int, bytes]] = []
+        self.watches: list[tuple[int, int]] = []
+        self.answers: dict[int, list[tuple[int, api.Action]]] = {}
+        self.moves: list[tuple[int, int, int]] = []
+        self.attempts: Counter[int] = Counter()
+        self.tell_all(listed(*hosts))
+
+    def tell_all(self, event: api.Event) -> None:
+        for node in range(len(self.nodes)):
+            self.tell(node, event)
+
+    def tell(self, node: int, *events: api.Event) -> None:
+        for action in self.nodes[node].step(self.now, list(events)):
+            self.perform(node, action)
+
+    def later(self, delay: int, node: int, event: api.Event) -> None:
+        heapq.heappush(self.due, (self.now + delay, next(self.order), node, event))
+
+    def ask(self, node: int, **changes: object) -> int:
+        number = next(self.numbers)
+        self.tell(node, api.Request(number, 0, 0, number, 0, 0, 0, 2 * S)._replace(**changes))  # type: ignore[arg-type]
+        return number
+
+    def run(self, until: int) -> None:
+        while self.due and self.due[0][0] <= until:
+            self.now, _, node, event = heapq.heappop(self.due)
+            self.tell(node, event)
+        self.now = until
+
+    def perform(self, node: int, action: api.Action) -> None:
+        match action:
+            case api.Send(request, host, timeout):
+                attempt = self.attempts[request]
+                self.attempts[request] += 1
+                self.sends.append((self.now, node, request, host))
+                if host in self.dead:
+                    limit = min(timeout, self.nodes[node].settings.connect_timeout_ns)
+                    failed = api.AttemptEnded(
+                        request, attempt, host, False, limit, Outcome.CONNECT_FAILED, ()
+                    )
+                    self.later(limit, node, failed)
+                elif host in self.erring:
+                    failed = api.AttemptEnded(request, attempt, host, False, ANSWER_NS, Outcome.ERROR, ())
+                    self.later(ANSWER_NS, node, failed)
+                else:
+                    self.later(ANSWER_NS, node, api.Established(request, attempt, host, ANSWER_NS))
+            case api.Probe(host):
+                self.probes.append((self.now, node, host))
+                limit = self.nodes[node].settings.connect_timeout_ns
+                outcome, wait = Outcome.OK, self.waits.get(host, ANSWER_NS)
+                if host in self.dead:
+                    outcome, wait = Outcome.CONNECT_FAILED, limit
+                elif host in self.erring:
+                    outcome = Outcome.ERROR
+                elif wait > limit:
+                    outcome, wait = Outcome.TIMEOUT, limit
+                self.later(wait, node, api.ProbeResult(host, outcome, wait, ()))
+            case api.SetTimer(delay, token):
+                self.later(delay, node, api.TimerFired(token))
+            case api.Watch(on=True):
+                self.watches.append((self.now, node))
+            case api.Move(request):
+                self.moves.append((self.now, node, request))
+                self.later(ANSWER_NS, node, api.AttemptEnded(request, 0, b"", True, 0, Outcome.CANCELLED, ()))
+            case api.Refuse(request) | api.Fail(request):
+                self.answers.setdefault(request, []).append((self.now, action))
+
+
+def most_within(times: list[int], window: int) -> int:
+    """The most of them in any window of that length."""
+    kept: deque[int] = deque()
+    most = 0
+    for at in sorted(times):
+        kept.append(at)
+        while kept[0] <= at - window:
+            kept.popleft()
+        most = max(most, len(kept))
+    return most
