Judge admission over all ready hosts, and move more off a host the more is piled up

At fault: Balancer.review_admission counted late hosts among those where this node has connections, so that a node with two connections at two late hosts took the fleet for jammed and turned away four fifths of its keys; on_note moved one tenth however late a host was. Ruled out: cold budgets as the reason for those rejections (they would have come at the deadline, not at once).

Change: the share of late hosts is taken over all ready ones; the share moved at a note grows with the work piled up, to four tenths at 0.6 s.

Tests at 40 and 2 nodes fail without either.

--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -24,7 +24,6 @@
 MIX_A, MIX_B = 0xBF58476D1CE4E5B9, 0x94D049BB133111EB
 NP_MIX_A, NP_MIX_B = np.uint64(MIX_A), np.uint64(MIX_B)
 S30, S27, S31, S12 = (np.uint64(n) for n in (30, 27, 31, 12))
-UNIT = 2.0**-52
 # Warm-up acts on weights in steps, so that nodes a few milliseconds apart hold the same ranking.
 WARM_STEPS = 8
 # The share of rule 4's budget that placements may use; the rest is for chance and for heavy connections.
@@ -54,9 +53,9 @@
 # they are more than JAMMED of the recent ones, narrow it by CUT, at most once in an aim.
 WINDOW_START, WINDOW_LEAST, JAMMED, CUT, SETUP_MEMORY = 8.0, 2.0, 0.3, 0.7, 0.1
 TICK_TOKEN = 1 << 16
-# Share of this node's connections moved off a hot host at each note (one a second): while messages take
-# two thirds of the shortest aim or more, and once they miss it. Under that a host is only passed over.
-MOVE_SLOW, MOVE_LATE = 0.05, 0.1
+# Share of this node's connections moved off a hot host at each note (one a second): from two thirds of the
+# shortest aim on (under that it is only passed over), and once messages miss it the more work is piled up.
+MOVE_SLOW, MOVE_LATE, MOVE_MOST, PILED_NS = 0.05, 0.1, 0.4, 200_000_000
 # Admission: once a second, while messages are late at more than the first share of the hosts that hold
 # this node's connections, fewer keys are admitted; under the second share, slowly more.
 SHED_OVER, ADMIT_UNDER, SHED_STEP, ADMIT_STEP, ADMIT_LEAST = 0.4, 0.15, 0.35, 0.05, 0.2
@@ -81,7 +80,7 @@
     x ^= x >> S27
     x *= NP_MIX_B
     x ^= x >> S31
-    result: npt.NDArray[np.float64] = -np.log(((x >> S12).astype(np.float64) + 0.5) * UNIT)
+    result: npt.NDArray[np.float64] = -np.log(((x >> S12).astype(np.float64) + 0.5) * 2.0**-52)
     return result
 
 
@@ -492,7 +491,8 @@
                 if self.now - host.load_at > PROBE_FRESH_NS:
                     self.probe(host)  # its answer tells how much to move
             elif host.hot_until:
-                self.move_off(host, MOVE_LATE if late else MOVE_SLOW if value * 3 >= aim * 2 else 0.0, late)
+                deep = min(MOVE_MOST, MOVE_LATE * (1.0 + value / PILED_NS))
+                self.move_off(host, deep if late else MOVE_SLOW if value * 3 >= aim * 2 else 0.0, late)
 
     def move_off(self, host: Host, share: float, late: bool) -> None:
         """Move a few of this node's connections, heaviest first; each node does so on its own notes."""
@@ -520,7 +520,8 @@
         if self.now - self.admit_at < 1_000_000_000:
             return
         self.admit_at = self.now
-        used = [h for h in self.hosts.values() if h.standing]
+        # One of many nodes stands at few hosts: that those are late says nothing of the others.
+        used = [h for h in self.hosts.values() if h.standing or h.state == HostState.READY]
         late = sum(self.now < h.late_until for h in used)
         self.jammed = late > max(1.0, SHED_OVER * len(used))  # one alone can be left for the others
         if self.jammed:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,8 @@
 from conftest import MS, S, entry, host
 from fleet import Fleet
 
+from linnetshift import interface as api
+
 HOSTS = tuple(entry(n) for n in range(8))
 PROBING = {"probing": True}
 
@@ -30,3 +32,42 @@
     else:
         # Who has more connections than there are hosts hears from most of them and asks no more.
         assert len(fleet.probes) < 40 and len(fleet.probes) <= sum(at < 2 * S for at, _, _ in fleet.probes)
+
+
+def note(fleet: Fleet, node: int, number: int, where: bytes, ms: float) -> api.Note:
+    return api.Note(number, 0, where, api.SLOW_NOTE, ms)
+
+
+@pytest.mark.parametrize("nodes, late, served", [(40, 2, True), (40, 5, False), (2, 2, True), (2, 5, False)])
+def test_a_few_late_hosts_are_not_the_fleet(nodes: int, late: int, served: bool) -> None:
+    # A node that stood at two hosts, both late, turned half of all away at once while most hosts were idle.
+    fleet = Fleet(nodes, HOSTS)
+    node = fleet.nodes[0]
+    for n in range(late):
+        numbers = [number for number in range(1, 400) if placed(fleet, number) == host(n)]
+        fleet.ask(0, key=numbers[0])
+    fleet.run(fleet.now + 100 * MS)
+    for _ in range(3):
+        fleet.run(fleet.now + 1 * S)
+        for where in [h for h in node.hosts.values() if h.standing]:
+            fleet.tell(0, note(fleet, 0, next(iter(where.standing)), where.id, 90.0))
+    assert (node.admit == 1.0) is served
+
+
+def placed(fleet: Fleet, key: int) -> bytes:
+    """Where the key's connection goes by the ranking alone."""
+    node = fleet.nodes[0]
+    return next(iter(node.ranking(node.key_hash(api.Request(0, 0, 0, key, 0, 0, 0, 0))))).id
+
+
+@pytest.mark.parametrize("ms, least, most", [(90.0, 2, 12), (1500.0, 25, 45)])
+def test_the_more_work_is_piled_up_the_more_is_moved(ms: float, least: int, most: int) -> None:
+    # At 2 s of work piled up a tenth a second was moved: whoever stayed had no message in time for 7 s.
+    fleet = Fleet(40, HOSTS)
+    key = next(key for key in range(1, 400) if placed(fleet, key) == host(3))
+    numbers = [fleet.ask(n % 40, key=key) for n in range(80)]
+    fleet.run(fleet.now + 100 * MS)
+    for n, number in enumerate(numbers):
+        if n < 40:
+            fleet.tell(n, note(fleet, n, number, host(3), ms))
+    assert least <= len(fleet.moves) <= most
