Give providers of other data centres a tenth of their weight where crossing has a price

A key had one provider for all proxies, so that 42 to 47 in 100 connections crossed. Groups are few and large (3 to 4 of 15 to 40 connections), and one of them outgrows a small provider alone.

At fault: the weights in Balancer.candidates, blind to where a host is.

Change: fees.crossZone is read; where it is above 0, a host of another zone ranks with a tenth of its weight. Where crossing is free nothing changes.

Tests at 40 and 2 nodes, three zones, fail without it.

--- a/linnetshift/interface.py
+++ b/linnetshift/interface.py
@@ -125,6 +125,7 @@
     report_columns: tuple[str, ...]
     tells_delay: bool
     step_ns: int
+    far_fee: float  # what crossing data centres costs; 0 where it costs nothing
 
     @classmethod
     def parse(cls, raw: Mapping[str, Any]) -> Settings:
@@ -199,6 +200,7 @@
             report_columns=tuple(str(c) for c in report.get("columns") or []),
             tells_delay=bool(family.get("tellsDelay", False)),
             step_ns=int(_optional(raw.get("stepNs"), 0)),
+            far_fee=_optional((raw.get("fees") or {}).get("crossZone"), 0.0),
         )
 
     @property
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -26,6 +26,7 @@
 S30, S27, S31, S12 = (np.uint64(n) for n in (30, 27, 31, 12))
 # Warm-up acts on weights in steps, so that nodes a few milliseconds apart hold the same ranking.
 WARM_STEPS = 8
+FAR = 0.1  # of its weight a host of another zone has where crossing has a price
 # The share of rule 4's budget that placements may use; the rest is for chance and for heavy connections.
 COLD_SAFETY = 0.5
 ERRORS_TOLD = 2  # so many hosts' errors are a request's own fault, so many requests' errors a host's
@@ -43,8 +44,7 @@
 # Word of a silent host: how long it counts, and how many voices make it hung. A node's own second failure
 # in a row is a voice too, since one may come of a full table of connections.
 VOICE_NS, VOICES = 5_000_000_000, 2
-SILENT = b"s"  # opens a message to peers: this host did not let a connection come to stand
-HOT = b"h"  # the same for a host whose messages are slow
+SILENT, HOT = b"s", b"h"  # open a message to peers: this host let no connection stand, its messages are slow
 HUNG_SHARE = 0.05  # of this node's connections there, moved at each tick
 LEAVE_NS, LAST_TICKS = 5_000_000_000, 12  # to leave one that drains; its last moves go to any other host
 # So many hosts of one zone or cell down at once, more than are seen to work there, mean the whole of it.
@@ -185,9 +185,7 @@
         self.window = WINDOW_START
         self.setting_up = 0  # attempts that are out and do not stand
         self.cut_at = 0
-        self.asked = False
-        self.ask_failures = 0
-        self.ask_token = 0
+        self.asked, self.ask_failures, self.ask_token = False, 0, 0
         self.configure(settings)
 
     def configure(self, settings: api.Settings) -> None:
@@ -315,7 +313,9 @@
             hashes = np.array([host_hash(h.id) for h in listed], dtype=np.uint64)
             warmth = [int(self.warmth(h) * WARM_STEPS) / WARM_STEPS or 1 / WARM_STEPS for h in listed]
             weights = [h.weight * w for h, w in zip(listed, warmth, strict=True)]
-            self.ranked = listed, hashes, 1.0 / np.array(weights, dtype=np.float64), sum(weights)
+            far = FAR if self.settings.far_fee > 0.0 else 1.0  # a key has a provider in each zone, then
+            near = np.array([1.0 if h.zone == self.settings.zone else far for h in listed])
+            self.ranked = listed, hashes, 1.0 / (near * np.array(weights)), sum(weights)
             self.standing = self.elsewhere + sum(len(h.standing) for h in self.hosts.values())
             loads = [item.load for h in self.hosts.values() for item in h.standing.values() if item.load]
             self.each_fill = 1e9 * len(loads) / sum(loads) if loads else self.each_fill
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from conftest import MS, S, entry, host, listed
 from fleet import Fleet
@@ -54,9 +56,9 @@
     assert (node.admit == 1.0) is served
 
 
-def placed(fleet: Fleet, key: int) -> bytes:
-    """Where the key's connection goes by the ranking alone."""
-    node = fleet.nodes[0]
+def placed(fleet: Fleet, key: int, number: int = 0) -> bytes:
+    """Where the key's connection goes by that node's ranking alone."""
+    node = fleet.nodes[number]
     return next(iter(node.ranking(node.key_hash(api.Request(0, 0, 0, key, 0, 0, 0, 0))))).id
 
 
@@ -87,3 +89,27 @@
     assert 25 <= len(fleet.moves) <= 55
     fleet.run(fleet.now + 3000 * MS)
     assert len(fleet.moves) == 80
+
+
+@pytest.mark.parametrize("nodes", [2, 40])
+@pytest.mark.parametrize("fee, least, most", [(0.0, 0.55, 0.8), (0.1, 0.0, 0.25)])
+def test_where_crossing_has_a_price_each_zone_has_its_own_place_for_a_key(
+    nodes: int, fee: float, least: float, most: float
+) -> None:
+    # Every second connection crossed data centres, a fifth of all that was lost. Here are three zones.
+    fleet = Fleet(nodes, HOSTS, fees={"crossZone": fee})
+    homes = {n: set[bytes]() for n in range(3)}
+    for n, node in enumerate(fleet.nodes):
+        node.configure(replace(node.settings, zone=n % 3))
+    for n in range(240):
+        fleet.ask(n % nodes, key=n + 1, group=n // 6 + 1)
+        fleet.run(fleet.now + 5 * MS)
+    crossing = sum(entry_of(where).zone != node % 3 for _, node, _, where in fleet.sends)
+    assert least <= crossing / 240 <= most
+    for n in range(nodes):
+        homes[n % 3].add(placed(fleet, 7, n))
+    assert all(len(places) <= 1 for places in homes.values())  # those of one zone agree
+
+
+def entry_of(where: bytes) -> api.HostEntry:
+    return next(one for one in HOSTS if one.host == where)
