Take a provider for vanished once it has owed an answer for 0.4 s, not 1 s

Each proxy waits for its consumer's next line (up to 2 s), then SILENT_NS, then a review (250 ms).

Change: SILENT_NS 0.4 s, reviews every 125 ms, message times once a second as before.

--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -22,9 +22,9 @@
 
 # A connection that brings nothing back must be ended or moved within 7 s.
 STALLED_NS = 4_000_000_000
-# A sound provider answers a line at once: one that owes an answer for so long, and from which nothing has
-# come on any connection since, has vanished, and all of its consumers are moved.
-SILENT_NS = 1_000_000_000
+# A sound provider answers a line at once, a jammed one too: one that owes an answer for so long, and from
+# which nothing has come on any connection since, has vanished, and all of its consumers are moved.
+SILENT_NS = 400_000_000
 # The module's own answer comes by the deadline; this long after it the broker answers in its place.
 OVERDUE_NS = 8_000_000
 # Connections that were open before the run come back through us within 40 s of its start.
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -11,8 +11,8 @@
 from linnetshift.net.channels import ChannelsFront
 from linnetshift.net.loop import MS, Actor, Loop, S, Script, Timeout, Timer
 
-REVIEW_NS = 250 * MS  # how often silence is looked for
-REVIEWS = 4  # and message times at one in so many
+REVIEW_NS = 125 * MS  # how often silence is looked for
+REVIEWS = 8  # and message times at one in so many
 
 
 class Settled(NamedTuple):
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -184,7 +184,8 @@
     [
         ([(1200 * MS, 1300 * MS), (0, 1900 * MS)], 2),  # nothing came since: all of them leave
         ([(1200 * MS, 1300 * MS), (0, 100 * MS)], 0),  # another connection was answered meanwhile
-        ([(900 * MS, 900 * MS)], 0),
+        ([(300 * MS, 300 * MS)], 0),
+        ([(500 * MS, 500 * MS)], 1),  # each second more is a twentieth of what a lost zone costs
         ([(5 * S, 5 * S), (0, 100 * MS)], 1),
     ],
 )
