Count across the fleet: one tool that joins all proxies' logs on time and provider

Added to the log for it: event=opened for each attempt, event=listed for each list or change with its age of cold providers, wait_ms of a rejection, start_ms of processor time at the start. One line for each ended connection stays.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Callable, Collection
 from typing import Any
 
@@ -14,6 +15,7 @@
 from linnetshift.core.broker import Broker
 from linnetshift.core.census import Held
 from linnetshift.core.memory import recall
+from linnetshift.interface import HostList, HostState, ListForm
 from linnetshift.net import log
 from linnetshift.net.channels import MOST_OPEN, ChannelsFront
 from linnetshift.net.config import (
@@ -27,13 +29,14 @@
 from linnetshift.net.directory import Directory, Roster, describe
 from linnetshift.net.handover import Holdings, Inherited, Legacy, Place, Succession, meet, spent
 from linnetshift.net.limits import Strangers
-from linnetshift.net.loop import Loop, S
+from linnetshift.net.loop import MS, Loop, S
 from linnetshift.net.module import Departure, Module, Mover
 from linnetshift.net.ops import Door
 from linnetshift.net.platform import Acceptor, Front, PlatformFront
 from linnetshift.net.provider import ProviderGate
 from linnetshift.net.vrrp import State, Vrrp
 
+COLD_NS = 60 * S  # providers that started so lately are told in the log, with their age
 DROPPED_NS = 30 * S  # how long a class that is dropped can still be asked for
 
 
@@ -90,11 +93,26 @@
 
     def listed(self, roster: Roster) -> None:
         event = self.broker.bans.bounded(roster.event)
+        if event.form in (ListForm.FULL, ListForm.DELTA):  # a failure has a line of its own
+            log.note("listed", **self.told_of(event))
         if left_out := len(roster.event.entries) - len(event.entries):
             log.note("too-many-providers", left_out=left_out)
         self.gate.listed(event, {entry.host: roster.endpoints[entry.host] for entry in event.entries})
         self.broker.listed(event)
 
+    def told_of(self, event: HostList) -> dict[str, object]:
+        """A list or its changes in the words of the log; with it a run's logs tell how old each list was."""
+        now = self.loop.now()
+        cold = [(e.host, (now - e.started_ns) // MS) for e in event.entries if now - e.started_ns < COLD_NS]
+        return {
+            "form": ListForm(event.form).name.lower(),
+            "rev": event.version,
+            "entries": len(event.entries),
+            "draining": sum(entry.state == HostState.DRAINING for entry in event.entries),
+            "gone": sum(entry.state == HostState.GONE for entry in event.entries),
+            "cold": ",".join(f"{host.decode('utf-8', 'replace')}@{age}" for host, age in cold),
+        }
+
     def census(self) -> dict[str, Held]:
         """Every container that lives as long as the program; docs/memory.md says the same bounds."""
         connections = self.strangers.descriptors + MOST_OPEN
@@ -318,7 +336,12 @@
         print(f"linnetshift: cannot listen: {error.strerror}", file=sys.stderr)
         return 2
     program.catch_signals()
-    log.note("started", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
+    log.note(
+        "started",
+        name=config.name,
+        listen=f"{config.listen[0]}:{config.listen[1]}",
+        start_ms=int(time.process_time() * 1000),
+    )
     program.loop.run()
     program.succession.end()
     return 0
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -177,7 +177,7 @@
         self.invocation: Invocation | None = None
         self.provider = b""
         self.id: int | None = None  # held in the front's set while this is open
-        self.error = ""
+        self.error, self.wait_ms = "", 0
 
     def shed(self) -> None:
         self.stream.send(b"" if self.stream.ending else FAILED)
@@ -261,6 +261,7 @@
             peer=f"{self.peer[0]}:{self.peer[1]}",
             provider=self.provider.decode("utf-8", "replace"),
             attempts=self.invocation.attempts if self.invocation is not None else 0,
+            **({"wait_ms": self.wait_ms} if reason is Reason.REJECTED else {}),
             ms=(self.loop.now() - self.began) // MS,
         )
 
@@ -337,7 +338,7 @@
                 case Resume():
                     return None
                 case Rejected(retry_after_ns):
-                    ms = -(-retry_after_ns // MS)
+                    ms = self.wait_ms = -(-retry_after_ns // MS)
                     self.stream.send(b"BUSY %d\r\n" % ms if ms else b"BUSY\r\n")
                     return Reason.REJECTED
                 case Failed():
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -416,6 +416,12 @@
         if endpoint is None:
             self.broker.ended(attempt, Outcome.CONNECT_FAILED)
             return
+        log.note(
+            "opened",
+            id=attempt.invocation.id,
+            attempt=attempt.number,
+            provider=attempt.provider.decode("utf-8", "replace"),
+        )
         link = ProviderLink(self.loop, self.broker, attempt, endpoint)
         link.start(link.live())
 
--- /dev/null
+++ b/tests/test_fleet_log.py
@@ -0,0 +1,61 @@
+"""The count over all proxies' logs, on a small run written here: two proxies, three providers, one cold."""
+
+from __future__ import annotations
+
+import importlib.util
+from pathlib import Path
+from types import ModuleType
+
+TOOL = Path(__file__).parent.parent / "bench" / "fleet_log.py"
+STAMP = "ts=2026-01-01T00:00:{:06.3f}Z level=info event="
+LOGS = {
+    "n0": [
+        (0.0, "started name=n0 start_ms=300"),
+        (0.1, "ended side=consumer reason=probed id=0 attempts=0 ms=1"),
+        (0.2, "listed form=full rev=1 entries=3 draining=0 gone=0 cold=s-3@200"),
+        (1.01, "opened id=1 attempt=0 provider=s-1"),
+        (1.16, "ended side=provider reason=unreachable id=1 attempt=0 provider=s-1 ms=150"),
+        (1.17, "opened id=1 attempt=1 provider=s-3"),
+        (5.0, "ended side=consumer reason=served id=1 provider=s-3 attempts=2 ms=4000"),
+        (5.0, "ended side=provider reason=served id=1 attempt=1 provider=s-3 ms=3800"),
+    ],
+    "n1": [
+        (0.05, "started name=n1 start_ms=300"),
+        (0.35, "ended side=consumer reason=probed id=0 attempts=0 ms=1"),
+        (0.4, 'directory-call-failed path="/a?b=1" error="ConnectionError: status 503"'),
+        (1.12, "opened id=1 attempt=0 provider=s-3"),
+        (1.3, "ended side=probe reason=timed-out provider=s-2 ms=200"),
+        (2.0, 'ended side=consumer reason=rejected id=2 provider="" attempts=0 wait_ms=2000 ms=0'),
+        (2.2, 'ended side=consumer reason=rejected id=3 provider="" attempts=0 wait_ms=1800 ms=0'),
+        (3.0, "ended side=consumer reason=moved id=1 provider=s-3 attempts=1 ms=2000"),
+        (3.1, "not a line of the program's"),
+    ],
+}
+
+
+def tool() -> ModuleType:
+    spec = importlib.util.spec_from_file_location("fleet_log", TOOL)
+    assert spec is not None and spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+def test_the_logs_of_all_proxies_are_joined_on_time_and_provider(tmp_path: Path) -> None:
+    for name, lines in LOGS.items():
+        written = [
+            f"[{at:.2f}] {STAMP.format(at)}{text}\n" if " " in text and text[0] != "n" else f"{text}\n"
+            for at, text in lines
+        ]
+        (tmp_path / f"{name}.log").write_text("".join(written))
+    count = tool()
+    fleet = count.Fleet(count.read(tmp_path))
+    rows = "\n".join(fleet.report(0.1, 2))
+    assert fleet.busiest(0.1, 1) == [(2, 1.1, "s-3", 2)]  # one of each proxy, in the same tenth of a second
+    assert fleet.attempts == {2: 1, 0: 2, 1: 1} and fleet.moves == {"moved": 1}
+    assert "proxies 2" in rows and "directory answers 2  failed 1  most in a second 2" in rows
+    assert "connections opened 3  to cold providers 2" in rows
+    assert "s-1            failed 1 of 1  unreachable:1" in rows
+    assert "rejections 2  without an attempt 2  most in a second 2, due back in one 2" in rows
+    assert "probes of s-2            timed-out:1" in rows
+    assert [round(took, 2) for times in fleet.ready.values() for took in times] == [0.4, 0.6]
