--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -231,17 +231,16 @@
 
     def catch_signals(self) -> None:
         """Python's own handler runs between two instructions; the byte it leaves wakes the poll."""
-        reader, writer = socket.socketpair()
-        reader.setblocking(False)
-        writer.setblocking(False)
-        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        # A pipe and no pair of sockets: where the platform leads all sockets, only those of IP work.
+        reader, writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
         self.signals = reader, writer
-        self.loop.watch(reader.fileno(), select.EPOLLIN, self.signalled)
+        self.loop.watch(reader, select.EPOLLIN, self.signalled)
 
     def signalled(self, _mask: int) -> None:
-        caught = set(self.signals[0].recv(64))
+        caught = set(os.read(self.signals[0], 64))
         if signal.SIGHUP in caught:
             self.reload()
         if caught != {signal.SIGHUP} and not self.departing:
