--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -484,8 +484,7 @@
             if host.hot_until and self.settings.may_tell_peers and one_in_all:
                 # Nodes without a connection there hear nothing of it, and would send moved clients back.
                 self.out.append(api.Tell(api.ALL_PEERS, HOT + host.id))
-            late = value >= aim
-            host.late_until = self.now + NOTE_NS if late else 0
+            host.late_until = self.now + NOTE_NS if (late := value >= aim) else 0
             self.review_admission()
             if host.hot_until and self.load_column >= 0 and self.probe_credit >= 1.0:
                 if self.now - host.load_at > PROBE_FRESH_NS:
@@ -578,8 +577,9 @@
             self.send(item, host, left)
 
     def hold(self, item: Pending) -> None:
-        """Wait for a chance; what cannot have one before its deadline is refused just before it."""
-        if item.deadline - self.now <= 2 * self.tick_ns:
+        """Wait for a chance; where no host may have one, or it would come too late, refuse at once."""
+        none = all(host.state != HostState.READY for host in self.hosts.values())
+        if none or item.deadline - self.now <= 2 * self.tick_ns:
             self.give_up(item)
             return
         self.held.append(item.request.request)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -113,3 +113,37 @@
 
 def entry_of(where: bytes) -> api.HostEntry:
     return next(one for one in HOSTS if one.host == where)
+
+
+COLD = tuple(one._replace(started_ns=900 * MS) for one in HOSTS)
+LEAVING = tuple(one._replace(state=api.HostState.DRAINING) for one in HOSTS)
+
+
+@pytest.mark.parametrize("nodes", [2, 40])
+@pytest.mark.parametrize(
+    "hosts, chance",
+    [
+        ((), False),
+        (LEAVING, False),
+        (COLD, True),
+        (tuple(one._replace(weight=0.0) for one in HOSTS), True),
+        (tuple(one._replace(weight=float("nan")) for one in HOSTS), True),
+    ],
+)
+def test_where_no_host_may_serve_the_answer_comes_at_once(
+    nodes: int, hosts: tuple[api.HostEntry, ...], chance: bool
+) -> None:
+    # With nothing listed, or all draining, requests waited out their deadlines for a chance that none had.
+    fleet = Fleet(nodes, hosts)
+    numbers = [fleet.ask(n % nodes) for n in range(nodes)]
+    if not chance:
+        assert {at for number in numbers for at, _ in fleet.answers[number]} == {fleet.now}
+        assert all(
+            action.retry_after_ns > 0
+            for number in numbers
+            for _, action in fleet.answers[number]  # type: ignore[union-attr]
+        )
+    fleet.run(fleet.now + 2 * S)
+    sent = {request for _, _, request, _ in fleet.sends}
+    assert all((number in sent) is chance or number in fleet.answers for number in numbers)
+    assert all(len(fleet.answers.get(number, [0])) == 1 for number in numbers)
