--- a/bench/fleet_log.py
+++ b/bench/fleet_log.py
@@ -33,10 +33,6 @@
     def event(self) -> str:
         return self.pairs.get("event", "")
 
-    def span(self) -> float:
-        """How long what ended had lasted, in seconds."""
-        return int(self.pairs.get("ms") or 0) / 1000
-
 
 def read(directory: Path) -> list[Line]:
     """All lines of all proxies in the order of time; what is none of the program's is passed over."""
