Follow one consumer through every proxy: its key in the log lines, and a command that joins them

With 200 proxies a consumer that is cut off comes back through another proxy nearly every time, under a new id and a new number; the lines had nothing that stays the same.

--- a/bench/fleet_log.py
+++ b/bench/fleet_log.py
@@ -1,6 +1,10 @@
 """Counts across a fleet: the logs of all proxies of one run, joined on time and provider.
 
     python bench/fleet_log.py DIRECTORY [--step 0.1] [--busiest 8]
+    python bench/fleet_log.py DIRECTORY --follow ID
+
+The second prints all that became of one consumer, at whichever proxy it came up, in the order of time: ID is
+what an OPEN line began with, or the key after it, which stays the same when the consumer comes back.
 
 Each file of the directory is one proxy's log, named for it. A line is the program's own; where a time in
 seconds stands before it that is taken, else times count from the first line of all.
@@ -50,6 +54,23 @@
     return sorted(lines, key=lambda line: line.at)
 
 
+def follow(lines: Iterable[Line], word: str) -> list[Line]:
+    """The lines on one consumer: those of its key, and those of the invocations that had it."""
+    lines, wanted = list(lines), f"{int(word, 16):x}"
+    keys = {wanted} | {
+        line.pairs["key"] for line in lines if "key" in line.pairs and line.pairs.get("open") == wanted
+    }
+    starts: Counter[str] = Counter()
+    numbered, theirs = [], set()
+    for line in lines:
+        starts[line.proxy] += line.event == "started"  # each process counts its invocations anew
+        invocation = line.proxy, starts[line.proxy], line.pairs.get("id", "0")
+        numbered.append((invocation, line))
+        if line.pairs.get("key") in keys:
+            theirs.add(invocation)
+    return [line for invocation, line in numbered if invocation in theirs]
+
+
 class Fleet:
     """What all proxies did, together."""
 
@@ -173,7 +194,15 @@
         "--step", type=float, default=0.1, help="seconds that opened connections are counted over"
     )
     parser.add_argument("--busiest", type=int, default=8, help="how many of the busiest steps are shown")
+    parser.add_argument("--follow", metavar="ID", help="an id or a key, in hexadecimal")
     chosen = parser.parse_args()
+    if chosen.follow is not None:
+        for line in follow(read(chosen.directory), chosen.follow):
+            print(
+                f"{line.at:9.3f} {line.proxy:<6}",
+                *(f"{k}={v}" for k, v in line.pairs.items() if k not in ("ts", "level")),
+            )
+        return
     for row in Fleet(read(chosen.directory)).report(chosen.step, chosen.busiest):
         print(row)
 
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -258,6 +258,8 @@
             reason,
             **({"error": self.error[:MOST_TOLD]} if self.error else {}),
             id=self.invocation.id if self.invocation is not None else 0,
+            **({"open": f"{self.id:x}"} if self.id is not None else {}),
+            **({"key": f"{self.invocation.key:x}"} if self.invocation is not None else {}),
             peer=f"{self.peer[0]}:{self.peer[1]}",
             provider=self.provider.decode("utf-8", "replace"),
             attempts=self.invocation.attempts if self.invocation is not None else 0,
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -416,11 +416,15 @@
         if endpoint is None:
             self.broker.ended(attempt, Outcome.CONNECT_FAILED)
             return
+        asked = attempt.invocation
         log.note(
             "opened",
-            id=attempt.invocation.id,
+            id=asked.id,
             attempt=attempt.number,
             provider=attempt.provider.decode("utf-8", "replace"),
+            key=f"{asked.key:x}",
+            group=f"{asked.group:x}",
+            flags=asked.flags,
         )
         link = ProviderLink(self.loop, self.broker, attempt, endpoint)
         link.start(link.live())
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_log.py
@@ -33,6 +33,33 @@
 }
 
 
+FOLLOWED = {
+    "n0": [
+        (0.0, "started name=n0"),
+        (1.0, "opened id=1 attempt=0 provider=s-1 key=7f group=5 flags=0"),
+        (1.1, "opened id=2 attempt=0 provider=s-2 key=80 group=5 flags=0"),
+        (1.2, "ended side=provider reason=provider-reset id=1 attempt=0 provider=s-1 ms=200"),
+        (1.2, "ended side=consumer reason=provider-reset id=1 open=ab1 key=7f provider=s-1 ms=200"),
+        (3.0, "started name=n0"),
+        (3.1, "opened id=1 attempt=0 provider=s-3 key=81 group=6 flags=0"),
+    ],
+    "n1": [
+        (0.0, "started name=n1"),
+        (2.0, "opened id=1 attempt=0 provider=s-2 key=7f group=5 flags=16"),
+        (2.5, "ended side=consumer reason=served id=1 open=ab2 key=7f provider=s-2 ms=500"),
+    ],
+}
+
+
+def write(directory: Path, logs: dict[str, list[tuple[float, str]]]) -> None:
+    for name, lines in logs.items():
+        written = [
+            f"[{at:.2f}] {STAMP.format(at)}{text}\n" if " " in text and text[:2] != "no" else f"{text}\n"
+            for at, text in lines
+        ]
+        (directory / f"{name}.log").write_text("".join(written))
+
+
 def tool() -> ModuleType:
     spec = importlib.util.spec_from_file_location("fleet_log", TOOL)
     assert spec is not None and spec.loader is not None
@@ -42,12 +69,7 @@
 
 
 def test_the_logs_of_all_proxies_are_joined_on_time_and_provider(tmp_path: Path) -> None:
-    for name, lines in LOGS.items():
-        written = [
-            f"[{at:.2f}] {STAMP.format(at)}{text}\n" if " " in text and text[0] != "n" else f"{text}\n"
-            for at, text in lines
-        ]
-        (tmp_path / f"{name}.log").write_text("".join(written))
+    write(tmp_path, LOGS)
     count = tool()
     fleet = count.Fleet(count.read(tmp_path))
     rows = "\n".join(fleet.report(0.1, 2))
@@ -59,3 +81,20 @@
     assert "rejections 2  without an attempt 2  most in a second 2, due back in one 2" in rows
     assert "probes of s-2            timed-out:1" in rows
     assert [round(took, 2) for times in fleet.ready.values() for took in times] == [0.4, 0.6]
+
+
+def test_one_consumer_is_followed_through_every_proxy_that_it_came_to(tmp_path: Path) -> None:
+    write(tmp_path, FOLLOWED)
+    count = tool()
+    lines = count.read(tmp_path)
+    for word in ("00AB1", "ab2", "7f"):  # any of its ids, or its key
+        found = [(line.at, line.proxy, line.pairs["id"]) for line in count.follow(lines, word)]
+        # Not the invocation that has the same number in the process after, or of the same group.
+        assert found == [
+            (1.0, "n0", "1"),
+            (1.2, "n0", "1"),
+            (1.2, "n0", "1"),
+            (2.0, "n1", "1"),
+            (2.5, "n1", "1"),
+        ]
+    assert count.follow(lines, "99") == []
