Ask for load reports with STATS where the settings name columns, instead of PING

Cause: Prober.live always sent PING and told () for the report (net/provider.py); PROTOCOL says that STATS is answered like PING with the report after it. A report that lacks a column or is no finite number counts as none. Tests fail with PING.

--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import os
 import select
 import socket
@@ -340,11 +341,18 @@
 
 
 class Prober(Dialing):
-    """One probe of a provider."""
-
-    def __init__(self, loop: Loop, provider: bytes, told: Callable[[Outcome, int], None]) -> None:
+    """One probe of a provider; where `columns` are named, it asks for the report of them too."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        provider: bytes,
+        columns: tuple[str, ...],
+        told: Callable[[Outcome, int, tuple[float, ...]], None],
+    ) -> None:
         super().__init__(loop)
-        self.provider, self.told, self.began = provider, told, loop.now()
+        self.provider, self.columns, self.told, self.began = provider, columns, told, loop.now()
+        self.figures: tuple[float, ...] = ()
 
     def live(self, endpoint: Endpoint) -> Script:
         outcome = Outcome.CONNECT_FAILED
@@ -352,7 +360,7 @@
         stream = self.stream
         if up and stream is not None:
             self.began = self.loop.now()  # the time to connect, twice the way there and back, is the way's
-            stream.send(b"PING\r\n")
+            stream.send(b"STATS\r\n" if self.columns else b"PING\r\n")
             outcome = yield from self.answer(stream)
         if stream is not None:
             stream.close()
@@ -363,8 +371,14 @@
 
     def report(self, outcome: Outcome) -> None:
         took = self.loop.now() - self.began
-        log.ended("probe", PROBED[outcome], provider=self.provider.decode("utf-8", "replace"), ms=took // MS)
-        self.told(outcome, took)
+        log.ended(
+            "probe",
+            PROBED[outcome],
+            provider=self.provider.decode("utf-8", "replace"),
+            ms=took // MS,
+            **dict(zip(self.columns, self.figures, strict=False)),
+        )
+        self.told(outcome, took, self.figures)
 
     def answer(self, stream: Stream) -> Steps:
         timer = self.alarm(PROBE_NS, "probe")
@@ -381,7 +395,9 @@
                         outcome = Outcome.ERROR
                         break
                     if line is not None:
-                        outcome = Outcome.OK if bytes(line).strip() == b"PONG" else Outcome.ERROR
+                        word, _, rest = bytes(line).strip().partition(b" ")
+                        outcome = Outcome.OK if word == b"PONG" else Outcome.ERROR
+                        self.figures = parse_report(rest, self.columns)
                     elif end is not None:
                         outcome = Outcome.RESET
                 case Timeout(tag="probe"):
@@ -437,10 +453,28 @@
             # One that was taken out is asked nothing; FULL is what says nothing of a provider.
             broker.probed(provider, Outcome.CONNECT_FAILED if endpoint is None else Outcome.FULL, 0, ())
             return
-        prober = Prober(self.loop, provider, lambda outcome, ns: broker.probed(provider, outcome, ns, ()))
+        prober = Prober(
+            self.loop,
+            provider,
+            broker.settings.report_columns,
+            lambda outcome, ns, figures: broker.probed(provider, outcome, ns, figures),
+        )
         prober.start(prober.live(endpoint))
 
 
+def parse_report(text: bytes, columns: tuple[str, ...]) -> tuple[float, ...]:
+    """A load report, `NAME=FIGURE,NAME=FIGURE...`, as figures in the order of `columns`.
+
+    Nothing at all where a column is missing or no finite number: half a report would be read as a whole one.
+    """
+    told = dict(pair.partition("=")[::2] for pair in text.decode("ascii", "replace").split(","))
+    try:
+        figures = tuple(float(told[column]) for column in columns)
+    except (KeyError, ValueError):
+        return ()
+    return figures if all(map(math.isfinite, figures)) else ()
+
+
 def parse_endpoint(text: str) -> Endpoint:
     address, _, port = text.rpartition(":")
     if not address or not port.isdigit() or not 0 < int(port) < 65536:
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -350,7 +350,7 @@
     base["rules"]["mustAskInNs"] = 1 * S
     base["allowed"]["connectTimeoutNs"] = 500 * MS
     for key, value in changes.items():
-        base[key] = {**base[key], **value} if isinstance(value, dict) else value
+        base[key] = {**base.get(key, {}), **value} if isinstance(value, dict) else value
     return base
 
 
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -1,4 +1,4 @@
-"""What differs between deployments, on the real program: how the list comes, what probes tell, what weights mean."""
+"""What differs between deployments, on the real program: lists, probes, weights."""
 
 from __future__ import annotations
 
@@ -29,3 +29,30 @@
         running.directory.fail(False)
         running.directory.change(**{"s-0": "DRAINING"})
         running.logged("event=listed form=full")
+
+
+COLUMNS = {"report": {"columns": ["outstanding", "x0"], "how": "pull"}}
+
+
+@pytest.mark.parametrize(
+    "more, asked, answer, logged",
+    [
+        ({}, b"PING\r\n", b"PONG\r\n", r"reason=answered provider=s-0 ms=\d+$"),
+        (COLUMNS, b"STATS\r\n", b"PONG x0=0.5,zz=1,outstanding=7\r\n", r"answered .* outstanding=7.0 x0=0.5"),
+        (COLUMNS, b"STATS\r\n", b"PONG x0=0.5\r\n", r"reason=answered provider=s-0 ms=\d+$"),
+        (COLUMNS, b"STATS\r\n", b"PONG outstanding=1,x0=nan\r\n", r"reason=answered provider=s-0 ms=\d+$"),
+        (COLUMNS, b"STATS\r\n", b"ERR\r\n", "side=probe reason=error"),
+    ],
+)
+def test_a_probe_asks_for_what_the_settings_name(
+    tmp_path: Path, more: dict[str, object], asked: bytes, answer: bytes, logged: str
+) -> None:
+    with proxy(tmp_path, 1, allowed={"probing": True}, **more) as running:
+        consumer = running.open()
+        probe = running.listeners[0].accept()
+        assert probe.line() == asked
+        probe.send(answer)
+        running.logged(logged)
+        if answer != b"ERR\r\n":
+            running.listeners[0].serve()
+            assert consumer.line() == b"UP r1\r\n"
