Reckon fullness from told loads only where the list's weights are sizes

Cause: MessageGauge.reckoned took the list's weight for the size in standard cores, so every provider came out at FULLEST. Ruled out: told message times (none in the log) and replies (at once). Now a weight counts as a size only where weightSource says so; elsewhere reports and told times speak. weights_silent, which nothing read, made room. The test fails without it.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -65,7 +65,7 @@
         self.module.start(self.module.live())
         self.directory.start(self.directory.live())
         if not config.settings.must_ask:
-            # Pushed lists stop at the agent on this machine: the module never asks, so nothing would bring them.
+            # Pushed lists stop at the agent on this machine, and the module never asks for them.
             self.directory.watch(True)
         self.strangers = Strangers(loop, config.sockets)
         inherited.restore(self.broker)
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -61,7 +61,8 @@
         """Also while running: what is known and under way stays."""
         self.settings = settings
         self.balancer.configure(settings)
-        self.gauge.configure(min(c.message_aim_ns for c in settings.offered), settings.balancers)
+        aim = min(c.message_aim_ns for c in settings.offered)
+        self.gauge.configure(aim, settings.balancers, settings.weights_are_sizes)
         contracts.follow(self.contracts, Counter(i.tenant for i in self.invocations.values()))
         self.contracts = contracts
 
--- a/linnetshift/core/gauge.py
+++ b/linnetshift/core/gauge.py
@@ -56,7 +56,7 @@
 
 class MessageGauge:
     def __init__(self) -> None:
-        self.slow_ns, self.proxies = 0, 1
+        self.slow_ns, self.proxies, self.sized = 0, 1, True
         self.weights: dict[bytes, float] = {}
         self.samples: dict[bytes, deque[tuple[int, int]]] = {}
         self.nearest: dict[int, int] = {}  # the shortest time seen for each far zone: the way there and back
@@ -70,8 +70,9 @@
             bytes, tuple[int, float]
         ] = {}  # when a provider told its message time, and that
 
-    def configure(self, shortest_aim_ns: int, proxies: int) -> None:
-        self.slow_ns, self.proxies = shortest_aim_ns // 3, proxies
+    def configure(self, shortest_aim_ns: int, proxies: int, sized: bool = True) -> None:
+        """`sized`: the list's weights are sizes in standard cores, by which loads may be reckoned."""
+        self.slow_ns, self.proxies, self.sized = shortest_aim_ns // 3, proxies, sized
 
     def dropped(self, provider: bytes, now: int) -> None:
         """It reset a connection that stood."""
@@ -175,8 +176,11 @@
         return median(times) if times else 0.0
 
     def reckoned(self, provider: bytes, held: list[Standing], usual: float) -> float:
-        """By the told loads, the other proxies' connections being taken as many as these."""
-        if not usual:
+        """By the told loads, the other proxies' connections being taken as many as these.
+
+        A live weight is a tenth of the size where ten connections fill a core: any provider would look full.
+        """
+        if not usual or not self.sized:
             return 0.0
         weight = self.weights.get(provider, 1.0)
         held = held + self.elsewhere.get(provider, [])
--- a/linnetshift/interface.py
+++ b/linnetshift/interface.py
@@ -119,7 +119,7 @@
     may_tell_peers: bool
     may_cancel: bool
     max_retry_after_ns: int
-    weights_silent: bool
+    weights_are_sizes: bool  # in standard cores; live ones fall with what a host holds
     pass_through: bool
     over_share_worth: float
     report_columns: tuple[str, ...]
@@ -194,7 +194,7 @@
             max_retry_after_ns=int(_optional(allowed.get("maxRetryAfterNs"), 0))
             if allowed.get("retryAfter")
             else 0,
-            weights_silent=raw.get("weightSource") == "silent",
+            weights_are_sizes=raw.get("weightSource") not in ("silent", "live"),
             pass_through=family.get("mode") == "pass",
             over_share_worth=_optional(raw.get("overShareWorth"), 1.0),
             report_columns=tuple(str(c) for c in report.get("columns") or []),
--- a/tests/test_gauge.py
+++ b/tests/test_gauge.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import pytest
-from conftest import MS, S
+from conftest import MS, S, raw_settings
 
+from linnetshift import interface as api
 from linnetshift.core.gauge import MessageGauge, Standing
 
 HERE = b"s-1"
@@ -154,3 +155,14 @@
     made = gauge(proxies=proxies)
     held = {HERE: [Standing(load, 1, 0) for load in loads]}
     assert bool(made.review(held, 1 * S)) is noted
+
+
+@pytest.mark.parametrize(
+    "source, noted", [("nominal", True), ("rough", True), ("live", False), ("silent", False)]
+)
+def test_loads_are_reckoned_only_over_weights_that_are_sizes(source: str, noted: bool) -> None:
+    # A live weight is the size over what is held: all providers looked full.
+    known = api.Settings.parse(raw_settings(weightSource=source))
+    made = gauge(0.3)
+    made.configure(50 * MS, 1, known.weights_are_sizes)
+    assert bool(made.review(asking(80_000.0, 5), 1 * S)) is noted
