Place a connection where some of its group stand already, if its node knows enough of them

Cause: choose() and better_host() took the first host of the ranking that was free, and live weights, renewed each second, rank anew with every list. Now hosts where some of the group stand come first, in the ranking's order, where the node has more connections than there are hosts. Tests seen to fail without it.

--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -93,6 +93,7 @@
     told: int = 0  # when this node learned that it drains or is gone
     open: int = 0  # this node's attempts and connections there
     standing: dict[int, Pending] = field(default_factory=dict)  # the connections among them
+    groups: dict[int, int] = field(default_factory=dict)  # and how many of each group they are
     tokens: float = 0.0  # sends it may still have while cold
     token_at: int = 0
     hot_until: int = 0  # messages there are slow
@@ -112,6 +113,16 @@
     trial: int = -1  # the request that tries a host on probation
     owed: bool = False  # it is back, and the next connection goes there: by the keys alone none may for long
 
+    def take(self, item: Pending) -> None:
+        self.standing[item.request.request] = item
+        self.groups[item.request.group] = self.groups.get(item.request.group, 0) + 1
+
+    def let_go(self, item: Pending) -> None:
+        if self.standing.pop(item.request.request, None) is not None:
+            self.groups[item.request.group] -= 1
+            if not self.groups[item.request.group]:
+                del self.groups[item.request.group]
+
 
 @dataclass(slots=True, eq=False)
 class Pending:
@@ -302,6 +313,16 @@
         for i in np.argsort(costs(key_hash, hashes) * reciprocal, kind="stable").tolist():
             yield listed[i]
 
+    def order(self, item: Pending) -> Iterator[Host]:
+        """The ranking, hosts where some of the group stand first, since each host that holds any pays for it.
+
+        A node with fewer connections than there are hosts sees too few of these: each would have its own.
+        """
+        group, ranked = item.request.group, self.ranking(self.key_hash(item.request))
+        if not group or len(self.pending) <= len(self.hosts):
+            return ranked
+        return iter(sorted(ranked, key=lambda host: group not in host.groups))
+
     def may_send(self, host: Host, mid_flow: bool) -> bool:
         if host.state == HostState.READY:
             return self.cold_allows(host)
@@ -480,7 +501,7 @@
                 self.move(item, host)
 
     def move(self, item: Pending, host: Host) -> None:
-        del host.standing[item.request.request]
+        host.let_go(item)
         self.out.append(api.Move(item.request.request))
 
     def review_admission(self) -> None:
@@ -506,7 +527,7 @@
 
     def better_host(self, item: Pending, host: Host, leaving: bool = False) -> Host | None:
         """Never from one bad host to another, unless it is leaving; nor to one that may not take it yet."""
-        for other in self.ranking(self.key_hash(item.request)):
+        for other in self.order(item):
             if other is not host and (leaving or not self.passed_over(other)) and self.may_send(other, False):
                 return other
         return None
@@ -584,7 +605,7 @@
         plain: Host | None = None  # suspect, but not known to be overloaded
         again: Host | None = None
         back = [h for h in self.hosts.values() if h.owed and not mid_flow]
-        for host in (*back, *self.ranking(self.key_hash(item.request))):
+        for host in (*back, *self.order(item)):
             if not self.may_send(host, mid_flow) or not self.effect_allows(item, host):
                 continue
             if mid_flow:
@@ -644,7 +665,7 @@
         if item.host is not None:
             item.host.open -= 1
             self.setting_up -= not item.standing
-            item.host.standing.pop(item.request.request, None)
+            item.host.let_go(item)
             if item.host.trial == item.request.request:
                 item.host.trial = -1
             item.host = None
@@ -655,14 +676,15 @@
             return
         item = self.pending[event.request] = Pending(event, 0, event.load_hint, self.rules[event.klass])
         item.attempt, item.host, item.standing = 0, host, True
-        host.standing[event.request] = item
+        host.take(item)
         host.open += 1
 
     def on_established(self, event: api.Established) -> None:
         item, host = self.pending.get(event.request), self.hosts.get(event.host)
         if item is None or event.attempt != item.attempt or host is None or item.host is not host:
             return
-        item.standing, host.standing[event.request], host.good_at = True, item, self.now
+        item.standing, host.good_at = True, self.now
+        host.take(item)
         host.voices.clear()
         self.hung.pop(event.host, None)
         self.empty_out(host)
--- a/tests/test_kinds_of_site.py
+++ b/tests/test_kinds_of_site.py
@@ -5,8 +5,10 @@
 import math
 
 import pytest
-from conftest import S, balancer, entry, listed, request
+from conftest import MS, S, balancer, ended, entry, host, listed, only, request
 
+from linnetshift import interface as api
+from linnetshift.interface import Outcome
 from linnetshift.policy import FEE_STEP, Balancer
 
 
@@ -24,3 +26,59 @@
     node.step(2 * S, [listed(*(entry(n, zone=n % zones) for n in range(30)))])
     odds = (zones - 1) * math.exp(-fee / FEE_STEP)
     assert homes(node) == pytest.approx(odds / (1 + odds), abs=0.06)
+
+
+def crowd(node: Balancer, connections: int, groups: int) -> dict[int, set[bytes]]:
+    """So many stand, spread over the groups; where each group stands."""
+    for n in range(1, connections + 1):
+        for send in only(node.step(2 * S + n * MS, [request(n, group=1 + n % groups)]), api.Send):
+            node.step(2 * S + n * MS, [api.Established(n, 0, send.host, MS)])
+    return {g: {h.id for h in node.hosts.values() if g in h.groups} for g in range(1, groups + 1)}
+
+
+@pytest.mark.parametrize("source", ["nominal", "live"])
+def test_a_group_stays_where_it_stands_when_weights_move(source: str) -> None:
+    # Each fall of a live weight re-ranked the group elsewhere: 5 groups stood in 50 places of 16 hosts.
+    node = balancer(8, weightSource=source)
+    before = crowd(node, 40, 4)
+    for turn in range(10):
+        node.step((4 + turn) * S, [listed(*(entry(n, weight=0.2 + (n + turn) % 8) for n in range(8)))])
+        for g in before:
+            (send,) = only(node.step(node.now + MS, [request(1000 + 10 * turn + g, group=g)]), api.Send)
+            assert send.host in before[g]
+
+
+def test_a_full_host_s_group_goes_on_to_the_next_one() -> None:
+    node = balancer(8)
+    (home,) = crowd(node, 12, 1)[1]
+    node.step(4 * S, [api.Note(1, 0, home, api.SLOW_NOTE, 60.0)])
+    (send,) = only(node.step(4 * S + MS, [request(500, group=1)]), api.Send)
+    assert send.host != home
+
+
+def test_one_of_many_nodes_follows_the_ranking_it_shares_with_the_others() -> None:
+    # With 3 of 600 connections each, 200 nodes would have held to 200 places of their own.
+    node = balancer(8)
+    (home,) = crowd(node, 3, 1)[1]
+    node.step(4 * S, [listed(*(entry(n, weight=0.001 if host(n) == home else 1.0) for n in range(8)))])
+    (send,) = only(node.step(4 * S + MS, [request(500, group=1)]), api.Send)
+    assert send.host != home
+
+
+@pytest.mark.parametrize("end", ["ended", "moved", "gone"])
+def test_groups_are_counted_down_as_connections_end(end: str) -> None:
+    node = balancer(1)
+    crowd(node, 6, 2)
+    (held,) = node.hosts.values()
+    assert held.groups == {1: 3, 2: 3}
+    if end == "ended":
+        for n in range(1, 7):
+            node.step(4 * S, [ended(api.Send(n, held.id, 0), 0, Outcome.OK, closed=True)])
+    elif end == "moved":
+        for item in list(held.standing.values()):
+            node.move(item, held)
+    else:
+        node.step(4 * S, [listed()])
+        for n in range(1, 7):
+            node.step(5 * S, [ended(api.Send(n, held.id, 0), 0, Outcome.RESET, closed=True)])
+    assert not held.groups and not held.standing
