Count a host's errors at once, not only when another host has served the request

Cause: faults were counted in on_established, so an error told of its host only once another host let that request stand; while none could, the host never came under suspicion, and choose() took it as the plain ranking's best. Ruled out: a probe's answer clearing the spell (on_proberesult does not touch it). Now the first error of each request counts at its host at once, two in a row with nothing served between make it suspect, and a host that errs is no fallback. Such an error does not count as the request's own. A restart forgets. Two hosts' errors are still the request's own fault (test kept).

--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -28,7 +28,7 @@
 WARM_STEPS = 8  # in which warm-up acts on weights: nodes a few milliseconds apart hold the same ranking
 FEE_STEP = 0.056  # the price of crossing at which a host of another zone has 1/e of its weight
 COLD_SAFETY = 0.5  # share of rule 4's budget for placements; the rest is for chance and heavy connections
-ERRORS_TOLD = 2  # so many hosts' errors are a request's own fault, so many requests' errors a host's
+ERRORS_TOLD = 2  # so many hosts' errors are a request's own fault, so many requests' in a row a host's
 RATE_NS = 10_000_000_000  # over which a node measures the rate at which connections come to stand
 NOTE_NS = 2_500_000_000  # slow notes come once a second while they hold; two in a row may get lost to chance
 # Probed load (asked over what the host can do) from which a host is passed over, and to which moves bring it.
@@ -109,7 +109,7 @@
     struck_at: int = 0  # when that spell began
     voices: dict[int, int] = field(default_factory=dict)  # who found it silent, and when
     good_at: int = 0  # when a connection last came to stand there
-    faults: int = 0  # errors in a row to requests that another host served
+    faults: int = 0  # errors in a row, each to a request that had met none before
     trial: int = -1  # the request that tries a host on probation
     owed: bool = False  # it is back, and the next connection goes there: by the keys alone none may for long
 
@@ -136,7 +136,7 @@
     host: Host | None = None  # where the latest attempt went, while it is out
     standing: bool = False
     probes: int = 0  # sent on its behalf
-    erred: list[Host] = field(default_factory=list)  # hosts that answered it with an error
+    erred: int = 0  # hosts that answered it with an error of its own
     tried: list[Host] = field(default_factory=list)
     unsure: Host | None = None  # host of the first attempt that may have run
     window: int = 0  # and when its repeats cease to be discarded
@@ -215,7 +215,7 @@
             known.owed = known.owed or (entry.state == HostState.READY and was != HostState.READY)
             if entry.started_ns != known.started:
                 self.seed_tokens(known)  # and what was held against it ended with the old process
-                known.hot_until = known.late_until = known.avoid_until = known.spell = 0
+                known.hot_until = known.late_until = known.avoid_until = known.spell = known.faults = 0
             self.update(known, entry)
             if entry.state != HostState.READY:
                 known.state = was
@@ -611,9 +611,10 @@
             if mid_flow:
                 return host
             if host in item.tried:
-                again = again or (host if host not in item.erred else None)
+                again = again or (host if not host.faults else None)
             elif self.passed_over(host):
-                if self.now >= host.hot_until and not host.overload and host.trial < 0:
+                faulty = host.faults >= ERRORS_TOLD  # it answers, and would err again
+                if self.now >= host.hot_until and not host.overload and not faulty and host.trial < 0:
                     plain = plain or host
             elif self.probe_first(host, item):
                 return None  # its answer, or its silence, decides
@@ -691,10 +692,6 @@
         if host.trial == event.request:
             host.trial = -1
         host.faults = 0
-        for other in item.erred:  # the request was sound, so the fault is theirs
-            other.faults += 1
-            if other.faults >= ERRORS_TOLD:
-                self.strike(other, overload=False)
         self.setting_up -= 1
         self.count_setup(item.klass.aim_ns, event.elapsed_ns, False)
         self.count_established(item.request.flags)
@@ -719,8 +716,11 @@
             self.pending.pop(event.request)
             return
         if event.outcome == Outcome.ERROR:
-            item.erred.append(host)
-        if len(item.erred) >= ERRORS_TOLD:
+            host.faults += not item.erred  # whether or not another host serves the request
+            item.erred += host.faults < ERRORS_TOLD
+            if host.faults >= ERRORS_TOLD:
+                self.strike(host, overload=False)
+        if item.erred >= ERRORS_TOLD:
             self.finish(item)
             self.out.append(api.Fail(event.request))
             return
--- a/tests/test_kinds_of_site.py
+++ b/tests/test_kinds_of_site.py
@@ -82,3 +82,32 @@
         for n in range(1, 7):
             node.step(5 * S, [ended(api.Send(n, held.id, 0), 0, Outcome.RESET, closed=True)])
     assert not held.groups and not held.standing
+
+
+def test_a_host_that_errs_on_all_is_passed_over_though_nobody_else_can_serve_yet() -> None:
+    # Errors counted only once another host had served the request: while others were cold each went there first.
+    node = balancer(2)
+    bad = next(iter(node.ranking(node.key_hash(request(1, key=5))))).id
+    node.step(2 * S, [listed(entry(0, started_ns=2 * S), entry(1, started_ns=2 * S))])
+    node.hosts[bad].started = 0
+    tried = 0
+    for number in range(1, 12):
+        actions = node.step(node.now + MS, [request(number, key=5)])
+        while sends := only(actions, api.Send):
+            tried += sends[0].host == bad
+            actions = node.step(node.now, [ended(sends[0], 0, Outcome.ERROR)])
+    assert tried == 2
+
+
+def test_a_host_s_errors_are_forgotten_when_it_serves_or_restarts() -> None:
+    node = balancer(1)
+    for number, then in ((1, "serves"), (2, "restarts")):
+        (send,) = only(node.step(node.now + S, [request(number)]), api.Send)
+        node.step(node.now, [ended(send, 0, Outcome.ERROR)])
+        assert node.hosts[host(0)].faults == 1
+        if then == "serves":
+            (again,) = only(node.step(node.now + S, [request(9)]), api.Send)
+            node.step(node.now, [api.Established(9, 0, again.host, MS)])
+        else:
+            node.step(node.now, [listed(entry(0, started_ns=node.now))])
+        assert node.hosts[host(0)].faults == 0
