Let a node that knows no load yet use cold hosts, and reckon their part from sizes

Cause: cold_allows() refills a host's token by this node's standing connections, its rate and each_fill; a new process has none of them, so the refill was 0 for good. And with live weights a total of 2 stood for sizes of 15. Now: all nodes together at least one connection in tipAfter (or warmUp) at a cold host, 1 / (balancers x tipAfter) a node; sizes are the highest weight ever listed for the kind where weights are live; each_fill is handed over. Tests seen to fail without it.

--- a/linnetshift/core/memory.py
+++ b/linnetshift/core/memory.py
@@ -25,6 +25,7 @@
 )
 OF_NODE = (
     "load_each",
+    "each_fill",
     "rate",
     "rate_at",
     "admit",
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -86,6 +86,7 @@
     id: bytes
     zone: int = 0
     cell: int = 0
+    kind: int = 0
     state: int = HostState.READY
     weight: float = 1.0
     started: int = 0
@@ -149,6 +150,7 @@
         self.random = random.Random(seed)
         self.now = 0
         self.hosts: dict[bytes, Host] = {}
+        self.sizes: dict[int, float] = {}  # by kind, the highest weight that was listed
         self.pending: dict[int, Pending] = {}
         self.out: list[api.Action] = []
         self.ranked: tuple[list[Host], npt.NDArray[np.uint64], npt.NDArray[np.float64], float] | None
@@ -225,9 +227,10 @@
         self.ranked = None
 
     def update(self, host: Host, entry: api.HostEntry) -> None:
-        host.zone, host.cell = entry.zone, entry.cell
+        host.zone, host.cell, host.kind = entry.zone, entry.cell, entry.kind
         host.state, host.started, host.leave_ns = entry.state, entry.started_ns, entry.leave_ns
         host.weight = entry.weight if 0.0 < entry.weight < 1e9 else 1.0  # NaN and absurd figures count as 1
+        self.sizes[host.kind] = max(self.sizes.get(host.kind, 0.0), host.weight)
 
     def leave(self, host: Host, state: HostState) -> None:
         """The grace counts from the first word that a host drains or is gone."""
@@ -268,6 +271,10 @@
         cold = self.settings.cold_from
         return 1.0 if age >= 1.0 else cold + (1.0 - cold) * max(age, 0.0)
 
+    def size(self, host: Host) -> float:
+        """Its weight; where that falls with what it holds, the highest that a host of its kind ever had."""
+        return host.weight if self.settings.weights_are_sizes else self.sizes[host.kind]
+
     def seed_tokens(self, host: Host) -> None:
         """Nodes start at random levels, else all would send their first connection at the same moment."""
         host.tokens, host.token_at = 1.0 if host.owed else self.random.random(), self.now
@@ -277,10 +284,11 @@
         warmth, settings, total = self.warmth(host), self.settings, self.candidates()[3]
         if warmth >= 1.0:
             return True
+        least = 1e9 / settings.balancers / (settings.tip_after_ns or settings.warm_up_ns)  # no load known yet
         share = self.rate * max(0.0, 1.0 - (self.now - self.rate_at) / RATE_NS) / total
         fill = max(self.standing / total, self.each_fill / settings.balancers) * 1e9 / settings.warm_up_ns
-        refill = max(share, fill) * host.weight * warmth * settings.fall_multiple * COLD_SAFETY
-        host.tokens = min(1.0, host.tokens + refill * (self.now - host.token_at) / 1e9)
+        refill = max(share, fill) * self.size(host) * warmth * settings.fall_multiple * COLD_SAFETY
+        host.tokens = min(1.0, host.tokens + max(refill, least) * (self.now - host.token_at) / 1e9)
         host.token_at = self.now
         return host.tokens >= 1.0
 
@@ -299,7 +307,8 @@
             weights = [h.weight * w for h, w in zip(listed, warmth, strict=True)]
             far = math.exp(-self.settings.far_fee / FEE_STEP)  # where dear, a key has a host in each zone
             near = np.array([1.0 if h.zone == self.settings.zone else far for h in listed])
-            self.ranked = listed, hashes, 1.0 / (near * np.array(weights)), sum(weights)
+            total = sum(self.size(h) * w for h, w in zip(listed, warmth, strict=True))
+            self.ranked = listed, hashes, 1.0 / (near * np.array(weights)), total
             self.standing = self.elsewhere + sum(len(h.standing) for h in self.hosts.values())
             loads = [item.load for h in self.hosts.values() for item in h.standing.values() if item.load]
             self.each_fill = 1e9 * len(loads) / sum(loads) if loads else self.each_fill
--- a/tests/test_kinds_of_site.py
+++ b/tests/test_kinds_of_site.py
@@ -8,6 +8,8 @@
 from conftest import MS, S, balancer, ended, entry, host, listed, only, request
 
 from linnetshift import interface as api
+from linnetshift.core.gauge import MessageGauge
+from linnetshift.core.memory import recall, remember
 from linnetshift.interface import Outcome
 from linnetshift.policy import FEE_STEP, Balancer
 
@@ -85,7 +87,7 @@
 
 
 def test_a_host_that_errs_on_all_is_passed_over_though_nobody_else_can_serve_yet() -> None:
-    # Errors counted only once another host had served the request: while others were cold each went there first.
+    # Errors counted only once another host had served the request: while others were cold it came first.
     node = balancer(2)
     bad = next(iter(node.ranking(node.key_hash(request(1, key=5))))).id
     node.step(2 * S, [listed(entry(0, started_ns=2 * S), entry(1, started_ns=2 * S))])
@@ -111,3 +113,35 @@
         else:
             node.step(node.now, [listed(entry(0, started_ns=node.now))])
         assert node.hosts[host(0)].faults == 0
+
+
+@pytest.mark.parametrize("nodes", [1, 2, 5, 40])
+def test_a_node_that_knows_no_load_yet_uses_cold_hosts_in_its_turn(nodes: int) -> None:
+    # A process that took over while all hosts were cold earned no token: it held each request to its end.
+    node = balancer(0, balancers=nodes, rules={"warmUpNs": 1000 * S})
+    node.step(2 * S, [listed(entry(1, started_ns=2 * S))])
+    cold, tip, served = node.hosts[host(1)], node.settings.tip_after_ns, 0
+    cold.tokens = 0.0
+    for turn in range(1, 4 * nodes + 1):
+        actions = node.step(2 * S + turn * tip + turn, [request(turn, budget_ns=S)])
+        served += len(only(actions, api.Send))
+        for send in only(actions, api.Send):
+            node.step(node.now, [ended(send, 0, Outcome.FULL, closed=True)])
+            cold.avoid_until = 0
+    assert served == 4  # so all nodes together one in the time in which it may fall over
+
+
+@pytest.mark.parametrize("source, size", [("nominal", 0.3), ("live", 4.0)])
+def test_a_cold_host_s_part_is_reckoned_from_sizes(source: str, size: float) -> None:
+    node = balancer(0, weightSource=source)
+    node.step(2 * S, [listed(entry(1, weight=4.0), entry(2, weight=4.0))])
+    node.step(3 * S, [listed(entry(1, weight=0.3), entry(2, weight=0.3))])
+    assert node.size(node.hosts[host(1)]) == size
+    assert node.candidates()[3] == 2 * size
+
+
+def test_what_fills_a_host_is_passed_on_to_the_next_process() -> None:
+    old, new = balancer(2), balancer(2)
+    old.each_fill = 11.5
+    remember(new, MessageGauge(), recall(old, MessageGauge()))
+    assert new.each_fill == 11.5
