--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -524,6 +524,7 @@
         self.admit_at = self.now
         # One of many nodes stands at few hosts: that those are late says nothing of the others.
         used = [h for h in self.hosts.values() if h.standing or h.state == HostState.READY]
+        used = [h for h in used if self.warmth(h) >= 1.0] or used  # that a cold one is late passes by itself
         late = sum(self.now < h.late_until for h in used)
         self.jammed = late > max(1.0, SHED_OVER * len(used))  # one alone can be left for the others
         if self.jammed:
--- a/tests/test_kinds_of_site.py
+++ b/tests/test_kinds_of_site.py
@@ -145,3 +145,18 @@
     old.each_fill = 11.5
     remember(new, MessageGauge(), recall(old, MessageGauge()))
     assert new.each_fill == 11.5
+
+
+def test_cold_hosts_that_are_late_do_not_shed_what_warm_ones_bear() -> None:
+    # In a deploy most hosts are cold and late for some seconds: keys were refused for ten seconds after.
+    node = balancer(8)
+    crowd(node, 40, 4)
+    node.step(4 * S, [listed(*(entry(n, started_ns=4 * S if n < 5 else 0) for n in range(8)))])
+    late = [api.Note(1, 0, host(n), api.SLOW_NOTE, 90.0) for n in range(5)]
+    node.step(5 * S, late)
+    node.step(6 * S + MS, late)
+    assert node.admit == 1.0
+    warm = [api.Note(1, 0, host(n), api.SLOW_NOTE, 90.0) for n in range(5, 8)]
+    node.step(7 * S + 2 * MS, late + warm)
+    node.step(8 * S + 3 * MS, late + warm)
+    assert node.admit < 1.0
