Take the aim of the set-up where no aim for messages is told: at 0 every host was slow

Seen in a test that leaves out each optional setting in turn: without familyInfo or its messageAimNs any slow note, however small, made a host hot (value * 3 >= 0) and its connections move, and requests were held. Cause: RequestClass.message_aim_ns was 0 then. Now the class's own aimNs serves.

--- a/linnetshift/interface.py
+++ b/linnetshift/interface.py
@@ -149,8 +149,9 @@
                 name=str(c.get("name", i)),
                 aim_ns=_positive(c, "aimNs", f"services[{i}]."),
                 deadline_ns=_positive(c, "hardLimitNs", f"services[{i}]."),
-                # One added without an aim of its own shares the shortest: at 0 every provider is slow.
-                message_aim_ns=int(_optional(aims[i], 0)) if i < len(aims) else shortest,
+                # One added without an aim of its own shares the shortest; where none is told, that of the
+                # set-up serves: at 0 every provider is slow.
+                message_aim_ns=(int(_optional(aims[i], 0)) if i < len(aims) else shortest) or int(c["aimNs"]),
                 effect=_word(
                     c,
                     "effect",
--- a/tests/test_kinds_of_site.py
+++ b/tests/test_kinds_of_site.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 
 import pytest
-from conftest import MS, S, balancer, ended, entry, host, listed, only, request
+from conftest import MS, S, balancer, ended, entry, host, listed, only, raw_settings, request
 
 from linnetshift import interface as api
 from linnetshift.core.gauge import MessageGauge
@@ -160,3 +161,54 @@
     node.step(7 * S + 2 * MS, late + warm)
     node.step(8 * S + 3 * MS, late + warm)
     assert node.admit < 1.0
+
+
+OPTIONAL = (
+    "familyInfo",
+    "familyInfo.messageAimNs",
+    "fees",
+    "report",
+    "tenants",
+    "zones",
+    "weightSource",
+    "stepNs",
+    "allowed.retryAfter",
+    "allowed.maxRetryAfterNs",
+    "rules.mustAskInNs",
+)
+
+
+def without(*paths: str) -> dict[str, Any]:
+    """Settings of a deployment that tells all there is, less what stands at these paths."""
+    raw = raw_settings(
+        allowed={"probing": True},
+        report={"columns": ["outstanding", "x0"], "how": "pull"},
+        familyInfo={"tellsDelay": True, "groups": True},
+        fees={"crossZone": 0.1},
+        tenants=[{"name": "acme"}],
+        zones=["a"],
+    )
+    for path in paths:
+        *above, last = path.split(".")
+        (raw.get(above[0], {}) if above else raw).pop(last, None)
+    return raw
+
+
+@pytest.mark.parametrize("paths", [(), *((path,) for path in OPTIONAL), OPTIONAL])
+@pytest.mark.parametrize("discovery", ["push", "ask"])
+def test_whatever_a_deployment_does_not_tell_it_is_served(paths: tuple[str, ...], discovery: str) -> None:
+    node = Balancer(api.Settings.parse({**without(*paths), "discovery": discovery}), 1)
+    node.step(1 * S, [listed(*(entry(n) for n in range(8)))])
+    served = 0
+    for number in range(1, 41):
+        actions = node.step(2 * S + number * MS, [request(number, group=1 + number % 3)])
+        for probe in only(actions, api.Probe):
+            actions += node.step(node.now, [api.ProbeResult(probe.host, Outcome.OK, MS, ())])
+        for send in only(actions, api.Send):
+            node.step(node.now, [api.Established(number, 0, send.host, MS)])
+            served += 1
+            # A message that takes 5 ms is slow nowhere, whether or not an aim for it is told.
+            assert not only(
+                node.step(node.now, [api.Note(number, 0, send.host, api.SLOW_NOTE, 5.0)]), api.Move
+            )
+    assert served == 40
