Keep a request from the host that erred on it, though that host serves others since

Read in the change itself: since errors count at once, choose() asked host.faults instead of the hosts that this request met, and a host's faults go back to 0 when it serves another request. The request then went back to the host that had answered it with an error, against what stands in the changelog. Now the request keeps those hosts again, and an error is its own only where the host is not at fault. The new test failed before. Warm hosts return before the ranking is asked, and what stands is gathered once a review.

--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -316,9 +316,10 @@
 
     def review_messages(self) -> None:
         """Once a second: note the providers whose messages are slow, each on one connection."""
-        self.learned.review(self.linked().keys(), self.clock())
+        linked = self.linked()
+        self.learned.review(linked.keys(), self.clock())
         if self.settings.tells_delay:
-            first = {provider: held[0][0] for provider, held in self.linked().items()}
+            first = {provider: held[0][0] for provider, held in linked.items()}
             for provider, ms in self.gauge.review(self.loads(), self.clock()):
                 self.note(first[provider], api.SLOW_NOTE, ms)
 
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -135,7 +135,7 @@
     host: Host | None = None  # where the latest attempt went, while it is out
     standing: bool = False
     probes: int = 0  # sent on its behalf
-    erred: int = 0  # hosts that answered it with an error of its own
+    erred: list[Host] = field(default_factory=list)  # hosts that answered it with an error
     tried: list[Host] = field(default_factory=list)
     unsure: Host | None = None  # host of the first attempt that may have run
     window: int = 0  # and when its repeats cease to be discarded
@@ -163,10 +163,8 @@
         self.held: deque[int] = deque()  # requests that wait for a chance
         self.hung: dict[bytes, Host] = {}  # hosts that this node's connections leave
         self.admit, self.admit_at = 1.0, 0  # share of the keys that are admitted
-        self.jammed, self.ticking = (
-            False,
-            False,
-        )  # messages are late at most of the hosts in use; a tick is due
+        self.jammed = False  # messages are late at most of the hosts in use
+        self.ticking = False
         self.failing = 0.0  # share of recent set-ups that failed or were slow
         self.window, self.cut_at = WINDOW_START, 0
         self.setting_up = 0  # attempts that are out and do not stand
@@ -279,9 +277,10 @@
 
     def cold_allows(self, host: Host) -> bool:
         """This node's part of rule 4's budget: warm-up weights alone do not hold it in a returning wave."""
-        warmth, settings, total = self.warmth(host), self.settings, self.candidates()[3]
+        warmth, settings = self.warmth(host), self.settings
         if warmth >= 1.0:
             return True
+        total = self.candidates()[3]
         least = 1e9 / settings.balancers / (settings.tip_after_ns or settings.warm_up_ns)  # no load known yet
         share = self.rate * max(0.0, 1.0 - (self.now - self.rate_at) / RATE_NS) / total
         fill = max(self.standing / total, self.each_fill / settings.balancers) * 1e9 / settings.warm_up_ns
@@ -619,7 +618,7 @@
             if mid_flow:
                 return host
             if host in item.tried:
-                again = again or (host if not host.faults else None)
+                again = again or (host if host not in item.erred else None)
             elif self.passed_over(host):
                 faulty = host.faults >= ERRORS_TOLD  # it answers, and would err again
                 if self.now >= host.hot_until and not host.overload and not faulty and host.trial < 0:
@@ -725,10 +724,10 @@
             return
         if event.outcome == Outcome.ERROR:
             host.faults += not item.erred  # whether or not another host serves the request
-            item.erred += host.faults < ERRORS_TOLD
+            item.erred.append(host)
             if host.faults >= ERRORS_TOLD:
                 self.strike(host, overload=False)
-        if item.erred >= ERRORS_TOLD:
+        if sum(other.faults < ERRORS_TOLD for other in item.erred) >= ERRORS_TOLD:
             self.finish(item)
             self.out.append(api.Fail(event.request))
             return
--- a/tests/test_kinds_of_site.py
+++ b/tests/test_kinds_of_site.py
@@ -12,7 +12,7 @@
 from linnetshift.core.gauge import MessageGauge
 from linnetshift.core.memory import recall, remember
 from linnetshift.interface import FEE_STEP, Outcome
-from linnetshift.policy import Balancer
+from linnetshift.policy import TICK_TOKEN, Balancer
 
 
 def homes(node: Balancer) -> float:
@@ -102,6 +102,16 @@
     assert tried == 2
 
 
+def test_a_request_does_not_go_back_to_the_host_that_erred_though_that_serves_others() -> None:
+    # Success there clears the host; the request that it answered with an error would get the same again.
+    node = balancer(1)
+    (send,) = only(node.step(2 * S, [request(1)]), api.Send)
+    node.step(2 * S, [ended(send, 0, Outcome.ERROR)])
+    (other,) = only(node.step(2 * S + MS, [request(2)]), api.Send)
+    node.step(2 * S + 2 * MS, [api.Established(2, 0, other.host, MS)])
+    assert not only(node.step(2 * S + 60 * MS, [api.TimerFired(TICK_TOKEN)]), api.Send)
+
+
 def test_a_host_s_errors_are_forgotten_when_it_serves_or_restarts() -> None:
     node = balancer(1)
     for number, then in ((1, "serves"), (2, "restarts")):
