Bear report columns named like the log line's own fields

Read in the change itself: figures went to log.ended as keywords, so a settings file with a report column called side, reason, ms or provider made every probe end in a TypeError and never answer the module. The line's own fields win now. The new case failed before.

--- a/linnetshift/net/log.py
+++ b/linnetshift/net/log.py
@@ -54,7 +54,7 @@
             "level": record.levelname.lower(),
             "event": record.getMessage(),
         }
-        pairs.update(getattr(record, "pairs", {}))
+        pairs.update(getattr(record, "pairs", {}) | {"event": record.getMessage()})
         if record.exc_info:
             pairs["trace"] = self.formatException(record.exc_info)
         return " ".join(f"{key}={self.quote(value)}" for key, value in pairs.items())
@@ -71,13 +71,14 @@
 logger = logging.getLogger("linnetshift")
 
 
-def note(event: str, **pairs: object) -> None:
+def note(event: str, /, **pairs: object) -> None:
     logger.info(event, extra={"pairs": pairs})
 
 
-def ended(side: str, reason: Reason, **pairs: object) -> None:
+def ended(side: str, reason: Reason, /, **pairs: object) -> None:
     """The one line that an ended connection leaves."""
-    note("ended", side=side, reason=reason, **pairs)
+    own = {"side": side, "reason": reason}
+    note("ended", **(own | pairs | own))  # a report's column may have any name
 
 
 def words(error: Exception) -> str:
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -371,13 +371,9 @@
 
     def report(self, outcome: Outcome) -> None:
         took = self.loop.now() - self.began
-        log.ended(
-            "probe",
-            PROBED[outcome],
-            provider=self.provider.decode("utf-8", "replace"),
-            ms=took // MS,
-            **dict(zip(self.columns, self.figures, strict=False)),
-        )
+        told: dict[str, object] = {"provider": self.provider.decode("utf-8", "replace"), "ms": took // MS}
+        figures = dict(zip(self.columns, self.figures, strict=False))
+        log.ended("probe", PROBED[outcome], **(told | figures | told))
         self.told(outcome, took, self.figures)
 
     def answer(self, stream: Stream) -> Steps:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -32,6 +32,7 @@
 
 
 COLUMNS = {"report": {"columns": ["outstanding", "x0"], "how": "pull"}}
+ODD = {"report": {"columns": ["ms", "side", "event"], "how": "pull"}}
 
 
 @pytest.mark.parametrize(
@@ -42,6 +43,12 @@
         (COLUMNS, b"STATS\r\n", b"PONG x0=0.5\r\n", r"reason=answered provider=s-0 ms=\d+$"),
         (COLUMNS, b"STATS\r\n", b"PONG outstanding=1,x0=nan\r\n", r"reason=answered provider=s-0 ms=\d+$"),
         (COLUMNS, b"STATS\r\n", b"ERR\r\n", "side=probe reason=error"),
+        (
+            ODD,
+            b"STATS\r\n",
+            b"PONG ms=7,side=8,event=9\r\n",
+            r"side=probe reason=answered provider=s-0 ms=\d+",
+        ),
     ],
 )
 def test_a_probe_asks_for_what_the_settings_name(
