Turn away at once who has no turn at a cold host before its deadline

Ruled out: the window, which was open; the list, which named ready hosts.

Change: turn_in() reckons when those held before and this one have had a turn, at the hosts' present rates or once one is warm; who comes after its deadline is told at once when to come back.

--- a/linnetshift/core/memory.py
+++ b/linnetshift/core/memory.py
@@ -31,15 +31,14 @@
     "admit",
     "admit_at",
     "jammed",
-    "failing",
-    "window",
-    "cut_at",
 )
+OF_WINDOW = ("size", "failing", "cut_at")
 
 
 def recall(balancer: Balancer, gauge: MessageGauge) -> dict[str, Any]:
     return {
         "node": {key: getattr(balancer, key) for key in OF_NODE},
+        "window": {key: getattr(balancer.window, key) for key in OF_WINDOW},
         "hosts": {
             host.id.hex(): {key: getattr(host, key) for key in OF_HOST} for host in balancer.hosts.values()
         },
@@ -51,7 +50,8 @@
 def remember(balancer: Balancer, gauge: MessageGauge, memory: dict[str, Any]) -> None:
     """Once the list is known; a host that is not listed any more is left out."""
     learned = [(balancer.hosts.get(bytes.fromhex(name)), host) for name, host in memory["hosts"].items()]
-    for known, keys, told in [(balancer, OF_NODE, memory["node"])] + [
+    window = memory.get("window", {})  # an earlier version's had its place among the node's
+    for known, keys, told in [(balancer, OF_NODE, memory["node"]), (balancer.window, OF_WINDOW, window)] + [
         (host, OF_HOST, told) for host, told in learned if host is not None
     ]:
         for key in keys:
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -18,6 +18,8 @@
 from linnetshift import interface as api
 from linnetshift.coordination.places import Fleet, Hosts, Places
 from linnetshift.coordination.rendezvous import MASK, host_hash, in_order, mix64
+from linnetshift.coordination.turns import refilled, wait_ns
+from linnetshift.coordination.window import Window
 from linnetshift.interface import Effect, HostState, ListForm, Outcome, Scope
 
 WARM_STEPS = 8  # in which warm-up acts on weights: nodes a few milliseconds apart hold the same ranking
@@ -38,9 +40,7 @@
 HUNG_SHARE = 0.05  # of this node's connections there, moved at each tick
 LEAVE_NS, LAST_TICKS = 5_000_000_000, 12  # to leave one that drains; its last moves go to any other host
 TOGETHER = 3  # hosts of one zone or cell down at once, more than are seen to work there, mean all of it
-# The window: set-ups this node may have out. Swift ones (half the aim) widen it. Slow or failed ones, once
-# they are more than JAMMED of the recent ones, narrow it by CUT, at most once in an aim.
-WINDOW_START, WINDOW_LEAST, JAMMED, CUT, SETUP_MEMORY = 8.0, 2.0, 0.3, 0.7, 0.1
+REPORT_MEMORY = 0.1  # weight of a report in what is known of a connection's load
 TICK_TOKEN = 1 << 16
 # Share of this node's connections moved off a hot host at each note (one a second): from two thirds of the
 # shortest aim on (under that it is only passed over), and once messages miss it the more work is piled up.
@@ -142,8 +142,7 @@
         self.admit, self.admit_at = 1.0, 0  # share of the keys that are admitted
         self.jammed = False  # messages are late at most of the hosts in use
         self.ticking = False
-        self.failing = 0.0  # share of recent set-ups that failed or were slow
-        self.window, self.cut_at = WINDOW_START, 0
+        self.window = Window()  # how many set-ups may be out
         self.setting_up = 0  # attempts that are out and do not stand
         self.asked, self.ask_failures, self.ask_token = False, 0, 0
         self.configure(settings)
@@ -252,20 +251,30 @@
         """Nodes start at random levels, else all would send their first connection at the same moment."""
         host.tokens, host.token_at = 1.0 if host.owed else self.random.random(), self.now
 
-    def cold_allows(self, host: Host) -> bool:
-        """This node's part of rule 4's budget: warm-up weights alone do not hold it in a returning wave."""
-        warmth, settings = self.warmth(host), self.settings
-        if warmth >= 1.0:
-            return True
-        total = self.candidates()[3]
+    def cold_rate(self, host: Host) -> float:
+        """This node's part of rule 4's budget, connections a second; warm-up weights alone do not hold it."""
+        total, settings = self.candidates()[3], self.settings
         least = 1e9 / settings.balancers / (settings.tip_after_ns or settings.warm_up_ns)  # no load known yet
         share = self.rate * max(0.0, 1.0 - (self.now - self.rate_at) / RATE_NS) / total
         fill = max(self.standing / total, self.each_fill / settings.balancers) * 1e9 / settings.warm_up_ns
-        refill = max(share, fill) * self.size(host) * warmth * settings.fall_multiple * COLD_SAFETY
-        host.tokens = min(1.0, host.tokens + max(refill, least) * (self.now - host.token_at) / 1e9)
+        refill = max(share, fill) * self.size(host) * self.warmth(host) * settings.fall_multiple
+        return max(refill * COLD_SAFETY, least)
+
+    def cold_allows(self, host: Host) -> bool:
+        if self.warmth(host) >= 1.0:
+            return True
+        host.tokens = refilled(host.tokens, self.cold_rate(host), self.now - host.token_at)
         host.token_at = self.now
         return host.tokens >= 1.0
 
+    def turn_in(self) -> float:
+        """How long until a request that joins those held has a turn; 0 where a warm host may serve it."""
+        ready = [h for h in self.hosts.values() if h.state == HostState.READY]
+        if any(self.warmth(host) >= 1.0 for host in ready):
+            return 0.0
+        warm = self.settings.warm_up_ns - self.now
+        return wait_ns([(h.tokens, self.cold_rate(h), h.started + warm) for h in ready], len(self.held))
+
     def count_established(self, flags: int) -> None:
         """Only first arrivals count: a returning wave or a storm of retries says nothing of capacity."""
         self.rate *= max(0.0, 1.0 - (self.now - self.rate_at) / RATE_NS)
@@ -391,7 +400,7 @@
                 if load != host.load:
                     host.load, host.sends_before, host.sends = load, host.sends, 0
                 if 8.0 < held < 1e6:
-                    self.load_each += SETUP_MEMORY * (load / held - self.load_each)
+                    self.load_each += REPORT_MEMORY * (load / held - self.load_each)
                 if load > HOT_LOAD:
                     late = self.now < host.late_until
                     self.move_off(host, (load - AIM_LOAD) / load * PROBE_GAIN, late)
@@ -563,7 +572,7 @@
             self.give_up(item)
             return
         mid_flow = bool(request.flags & api.MID_FLOW) and item.attempt < 0
-        room = mid_flow or self.setting_up < self.window
+        room = mid_flow or self.setting_up < self.window.size
         if room and (host := self.choose(item, mid_flow)) is not None:
             self.send(item, host, left)
         else:
@@ -571,8 +580,7 @@
 
     def hold(self, item: Pending) -> None:
         """Wait for a chance; where no host may have one, or it would come too late, refuse at once."""
-        none = all(host.state != HostState.READY for host in self.hosts.values())
-        if none or item.deadline - self.now <= 2 * self.tick_ns:
+        if item.deadline - self.now <= max(2 * self.tick_ns, self.turn_in()):
             self.give_up(item)
             return
         self.held.append(item.request.request)
@@ -590,17 +598,7 @@
                 self.place(item)
 
     def count_setup(self, aim_ns: int, elapsed_ns: int, failed: bool) -> None:
-        """Set-up that is slow everywhere (a shared store past its rate) is not cured by another host.
-
-        Without a window, returning clients and retries queue up behind work that nobody waits for.
-        """
-        slow = failed or elapsed_ns > aim_ns
-        self.failing += SETUP_MEMORY * (slow - self.failing)
-        if slow and self.failing > JAMMED and self.now >= self.cut_at + aim_ns:
-            self.window, self.cut_at = max(self.window * CUT, WINDOW_LEAST), self.now
-        elif not slow and elapsed_ns < aim_ns // 2:
-            self.window += 1.0 / self.window if self.failing > JAMMED / 2 else 1.0
-            self.window = min(self.window, float(self.settings.balancers + 1000))
+        self.window.count(self.now, aim_ns, elapsed_ns, failed, float(self.settings.balancers + 1000))
 
     def choose(self, item: Pending, mid_flow: bool) -> Host | None:
         """The key's best host that nothing speaks against; if all are bad, the plain ranking."""
@@ -626,7 +624,7 @@
 
     def send(self, item: Pending, host: Host, left: int) -> None:
         # Leave room for another try, unless what would be left is too short for one or all are slow.
-        another = item.attempt + 2 < item.klass.max_attempts and self.failing < JAMMED
+        another = item.attempt + 2 < item.klass.max_attempts and not self.window.jammed
         within = item.klass.aim_ns if another and left >= 2 * item.klass.aim_ns else left
         item.attempt += 1
         item.host = host
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -92,7 +92,7 @@
 def balancer(hosts: int = 8, seed: int = 1, window: float = 1e9, **changes: Any) -> Balancer:
     """A node that knows `hosts` hosts; a wide window lets tests place many requests at one moment."""
     made = Balancer(api.Settings.parse(raw_settings(**changes)), seed)
-    made.window = window
+    made.window.size = window
     made.step(1 * S, [listed(*(entry(n) for n in range(hosts)))])
     return made
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -131,7 +131,7 @@
     later = MessageGauge()
 
     remember(new, later, told)
-    assert (new.admit, new.window, later.shed_at) == (0.5, 1e9, gauge.shed_at)
+    assert (new.admit, new.window.size, later.shed_at) == (0.5, 1e9, gauge.shed_at)
     new.admit = 1.0
     (again,) = only(new.step(2 * S + 1, [request(1)]), api.Send)
     assert again.host != sent.host
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -179,7 +179,7 @@
     assert 1 <= len(sends) <= 8
     assert all(send.timeout_ns == 2 * S for send in sends)  # else the store works for nobody
     node.step(now + 2 * S, [api.Established(s.request, 0, s.host, S) for s in sends])
-    assert node.window <= 8 and node.setting_up == 0
+    assert node.window.size <= 8 and node.setting_up == 0
 
 
 def crowd(node: object, connections: int) -> list[api.Established]:
