--- a/rig/fleet/ledger.py
+++ b/rig/fleet/ledger.py
@@ -85,6 +85,17 @@
         """Whether the node, or its link to clients, was at fault at any moment of that time."""
         return any(begin < until and end > since for begin, end in self.away.get(node, ()))
 
+    def cold_use(self) -> tuple[float, float]:
+        """Connections sent to cold servers, and what they would have borne over their warm-ups."""
+        sent = bears = 0.0
+        for start in self.starts:
+            sent += sum(
+                a.server == start.server and start.at <= a.at < start.at + start.warm_s for a in self.attempts
+            )
+            steps = max(1, int(start.warm_s / start.window_s))
+            bears += sum(start.allowed((step + 0.5) * start.window_s) for step in range(steps))
+        return sent, bears
+
 
 class Referee:
     """The rules, each a generator of what broke it."""
@@ -139,15 +150,3 @@
                 if count > bears + 3 * math.sqrt(bears) + 3:
                     yield Broken("overrun", f"{start.server}: {count} where it bears {bears:.1f}")
                     break
-
-    def cold_use(self) -> tuple[float, float]:
-        """Connections sent to cold servers, and what they would have borne over their warm-ups."""
-        sent = bears = 0.0
-        for start in self.ledger.starts:
-            sent += sum(
-                a.server == start.server and start.at <= a.at < start.at + start.warm_s
-                for a in self.ledger.attempts
-            )
-            steps = max(1, int(start.warm_s / start.window_s))
-            bears += sum(start.allowed((step + 0.5) * start.window_s) for step in range(steps))
-        return sent, bears
--- a/rig/fleet/links.py
+++ b/rig/fleet/links.py
@@ -53,7 +53,8 @@
         there = asyncio.ensure_future(self.pump(near_in, far_out, "there"))
         back = asyncio.ensure_future(self.pump(far_in, near_out, "back"))
         self.tasks |= {there, back}
-        await asyncio.gather(there, back)
+        with contextlib.suppress(asyncio.CancelledError):  # closed at the end of the play
+            await asyncio.gather(there, back)
         self.tasks -= {there, back}
         self.writers -= {near_out, far_out}
         for writer in (near_out, far_out):
--- a/rig/fleet/stands.py
+++ b/rig/fleet/stands.py
@@ -82,7 +82,7 @@
             self.ports.append(server.sockets[0].getsockname()[1])
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, node: int) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 line = await reader.readline()
                 if line.startswith((b"PING", b"STATS")):
@@ -188,7 +188,7 @@
                 self.news[node].notify_all()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, node: int) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, IndexError):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, IndexError, asyncio.CancelledError):
             while head := await reader.readuntil(b"\r\n\r\n"):
                 self.ledger.calls.append((self.clock(), node))
                 asked = parse_qs(urlsplit(head.split()[1].decode()).query)
--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -67,6 +67,18 @@
         servers = [2]
         for_s = 1.0
     """,
+    "a crowd while five of six servers are cold": """
+        [servers]
+        cores = 2.0
+        cold_from = 0.13
+        [traffic]
+        rate = 80.0
+        [[faults]]
+        at_s = 0.3
+        kind = "replace"
+        servers = [0, 1, 2, 3, 4]
+        for_s = 0.8
+    """,
     "the directory cut from a third, while a server drains": """
         [[faults]]
         at_s = 0.5
