--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -12,7 +12,6 @@
 
 from linnetshift import interface as api
 from linnetshift.contracts import Contracts
-from linnetshift.coordination.places import MET
 from linnetshift.core.bans import MOST_KNOWN, MOST_OUT, Bans
 from linnetshift.core.census import Held
 from linnetshift.core.gauge import MessageGauge, Standing
@@ -410,8 +409,6 @@
             "module.hung": Held(len(balancer.hung), names),
             "module.pending": Held(len(balancer.pending), connections),
             "module.held": Held(len(balancer.held), connections),
-            "module.met": Held(len(balancer.places.met), MET),
-            "module.places": Held(len(balancer.places.plan), MET),
             "settings.classes": Held(
                 len(self.settings.classes), connections + 2 * len(self.settings.offered)
             ),
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -16,7 +16,6 @@
 import numpy.typing as npt
 
 from linnetshift import interface as api
-from linnetshift.coordination.places import Fleet, Hosts, Places
 from linnetshift.coordination.rendezvous import MASK, host_hash, in_order, mix64
 from linnetshift.coordination.turns import refilled, wait_ns
 from linnetshift.coordination.window import Window
@@ -48,7 +47,6 @@
 # Admission: once a second, while messages are late at more than the first share of the hosts that hold
 # this node's connections, fewer keys are admitted; under the second share, slowly more.
 SHED_OVER, ADMIT_UNDER, SHED_STEP, ADMIT_STEP, ADMIT_LEAST = 0.4, 0.15, 0.35, 0.05, 0.2
-SCARCE = 0.9  # with less of the listed size ready and warm, a place in each zone costs more than crossing
 SHED_SALT = 0x9E3779B97F4A7C15  # splitmix64's increment: a draw per key that is independent of its ranking
 
 
@@ -129,8 +127,6 @@
         self.ranked: tuple[list[Host], npt.NDArray[np.uint64], npt.NDArray[np.float64], float] | None
         self.ranked_until = 0
         self.probe_credit = 0.0
-        self.places = Places()
-        self.scarce = False  # room is short, and this node sees too little to keep groups together by itself
         self.load_each = 0.0  # load of one connection, by the hosts' reports
         self.arrivals, self.arrivals_at = 0.0, 0  # requests in about the last second
         self.elsewhere = 0  # connections that this node's former process still holds
@@ -273,7 +269,9 @@
         if any(self.warmth(host) >= 1.0 for host in ready):
             return 0.0
         warm = self.settings.warm_up_ns - self.now
-        return wait_ns([(h.tokens, self.cold_rate(h), h.started + warm) for h in ready], len(self.held))
+        rates = [self.cold_rate(host) for host in ready]
+        levels = [refilled(h.tokens, r, self.now - h.token_at) for h, r in zip(ready, rates, strict=True)]
+        return wait_ns(zip(levels, rates, [h.started + warm for h in ready], strict=True), len(self.held))
 
     def count_established(self, flags: int) -> None:
         """Only first arrivals count: a returning wave or a storm of retries says nothing of capacity."""
@@ -289,10 +287,7 @@
             warmth = [int(self.warmth(h) * WARM_STEPS) / WARM_STEPS or 1 / WARM_STEPS for h in listed]
             weights = [h.weight * w for h, w in zip(listed, warmth, strict=True)]
             total = sum(self.size(h) * w for h, w in zip(listed, warmth, strict=True))
-            fit = sum(self.size(h) * self.warmth(h) for h in listed if h.state == HostState.READY)
-            few = len(self.pending) <= len(self.hosts)
-            self.scarce = few and fit < SCARCE * sum(self.size(h) for h in listed)
-            far = 1.0 if self.scarce else self.settings.far_weight  # dear: a key has a host in each zone
+            far = self.settings.far_weight  # where crossing is dear, a key has a host in each zone
             near = np.array([1.0 if h.zone == self.settings.zone else far for h in listed])
             self.ranked = listed, hashes, 1.0 / (near * np.array(weights)), total
             self.standing = self.elsewhere + sum(len(h.standing) for h in self.hosts.values())
@@ -311,27 +306,12 @@
         """The ranking, hosts where some of the group stand first, since each host that holds any pays for it.
 
         A node with fewer connections than there are hosts sees too few of these: each would have its own.
-        While room is short the group's places come first, which all nodes reckon nearly alike.
         """
         group, ranked = item.request.group, self.ranking(self.key_hash(item.request))
-        if group and self.scarce:
-            own = self.placed(group, mix64(item.request.key or item.request.request) / MASK)
-            return iter(sorted(ranked, key=lambda host: own.get(host.id, len(own))))
         if not group or len(self.pending) <= len(self.hosts):
             return ranked
         return iter(sorted(ranked, key=lambda host: group not in host.groups))
 
-    def placed(self, group: int, draw: float) -> dict[bytes, int]:
-        """Ranks of the hosts where that group is to stand, for a client with that draw."""
-        listed, hashes, reciprocal, _ = ranked = self.candidates()
-        if self.places.due(group, ranked, self.now):
-            fit = [self.size(h) * self.warmth(h) * (h.state == HostState.READY) for h in listed]
-            told = [item.load / 1e9 for item in self.pending.values() if item.standing and item.load]
-            quota = sum(tenant.quota_connections for tenant in self.settings.tenants)
-            fleet = Fleet(len(self.pending) + self.elsewhere, self.settings.balancers, quota)
-            self.places.make(ranked, self.now, Hosts(fit, hashes, reciprocal), told, fleet)
-        return {listed[at].id: rank for rank, at in enumerate(self.places.order(group, draw))}
-
     def may_send(self, host: Host, mid_flow: bool) -> bool:
         if host.state == HostState.READY:
             return self.cold_allows(host)
@@ -549,7 +529,6 @@
             return
         item = self.pending[event.request] = Pending(event, 0, event.load_hint, self.rules[event.klass])
         item.deadline = self.now + (event.budget_ns or item.klass.deadline_ns)
-        self.places.meet(event.group)
         if not event.flags & (api.RETRY | api.RETURNED):
             self.probe_credit = min(self.probe_credit, PROBES_EACH * 4) + PROBES_EACH
         past = (self.now - self.arrivals_at) / 1e9
@@ -677,7 +656,6 @@
             return
         item = self.pending[event.request] = Pending(event, 0, event.load_hint, self.rules[event.klass])
         item.attempt, item.host, item.standing = 0, host, True
-        self.places.meet(event.group)
         host.take(item)
         host.open += 1
 
