--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -79,6 +79,19 @@
         servers = [0, 1, 2, 3, 4]
         for_s = 0.8
     """,
+    "half of a crowd through one proxy while five of six servers are cold": """
+        [servers]
+        cores = 2.0
+        cold_from = 0.13
+        [traffic]
+        rate = 80.0
+        busiest = 0.5
+        [[faults]]
+        at_s = 0.3
+        kind = "replace"
+        servers = [0, 1, 2, 3, 4]
+        for_s = 0.8
+    """,
     "the directory cut from a third, while a server drains": """
         [[faults]]
         at_s = 0.5
