Count out hosts that err or are overfull when a held request looks for a turn

At fault: turn_in() took any warm ready host for a chance, also the one that errs on every open (faults of ERRORS_TOLD or more, which choose() never falls back to) and those with work piled up. Ruled out: the window (open), turns at hand (used in the same tick).

Change: such a host has none to give before its spell is over, and its rate does not count.

--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -264,14 +264,19 @@
         return host.tokens >= 1.0
 
     def turn_in(self) -> float:
-        """How long until a request that joins those held has a turn; 0 where a warm host may serve it."""
-        ready = [h for h in self.hosts.values() if h.state == HostState.READY]
-        if any(self.warmth(host) >= 1.0 for host in ready):
-            return 0.0
-        warm = self.settings.warm_up_ns - self.now
-        rates = [self.cold_rate(host) for host in ready]
-        levels = [refilled(h.tokens, r, self.now - h.token_at) for h, r in zip(ready, rates, strict=True)]
-        return wait_ns(zip(levels, rates, [h.started + warm for h in ready], strict=True), len(self.held))
+        """How long until a request that joins those held has a turn; 0 where a warm host may serve it.
+
+        One that errs or has work piled up has none to give before its spell is over.
+        """
+        turns = []
+        for host in [h for h in self.hosts.values() if h.state == HostState.READY]:
+            bad = host.overload or host.faults >= ERRORS_TOLD
+            spell = host.avoid_until - self.now if bad else 0
+            warm = host.started + self.settings.warm_up_ns - self.now if self.warmth(host) < 1.0 else 0
+            rate = self.cold_rate(host) if spell <= 0 else 0.0
+            level = refilled(host.tokens, rate, self.now - host.token_at) if spell <= 0 else 0.0
+            turns.append((level, rate, max(spell, warm)))
+        return wait_ns(turns, len(self.held))
 
     def count_established(self, flags: int) -> None:
         """Only first arrivals count: a returning wave or a storm of retries says nothing of capacity."""
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -53,8 +53,9 @@
         (2, False, 5 * S, True),
         (40, False, 5 * S, False),  # in 40 s, and are warm in 10 s
         (40, False, 11 * S, True),
-        (2, True, S, True),  # a warm host may get better at any moment
-        (40, True, S, True),
+        (2, True, S, False),  # the warm one is bad for 50 s
+        (40, True, 5 * S, False),
+        (40, True, 60 * S, True),
     ],
 )
 def test_who_has_no_turn_before_its_deadline_is_told_at_once(
@@ -66,7 +67,7 @@
     for known in node.hosts.values():
         known.tokens = 0.0
     if warm:
-        node.hosts[host(2)].avoid_until = 200 * S
+        node.hosts[host(2)].avoid_until = 150 * S
         node.hosts[host(2)].overload = True
     refusals = only(node.step(100 * S + MS, [request(1, budget_ns=left_ns)]), api.Refuse)
     assert bool(refusals) is not held
@@ -74,7 +75,7 @@
     # A crowd behind the first cannot all have a turn: who can't is told now, not at the end.
     crowd = node.step(100 * S + 2 * MS, [request(n, budget_ns=left_ns) for n in range(2, 40)])
     told = only(crowd, api.Refuse)
-    assert len(told) == (0 if warm or left_ns > 10 * S else 37 if held else 38)
+    assert len(told) == (0 if left_ns > 10 * S else 37 if held else 38)
 
 
 def test_windows_of_nodes_that_share_a_store_come_together() -> None:
