--- a/rig/fleet/ledger.py
+++ b/rig/fleet/ledger.py
@@ -57,7 +57,6 @@
     asked: dict[int, Asked] = field(default_factory=dict)
     attempts: list[Attempt] = field(default_factory=list)
     starts: list[Start] = field(default_factory=list)
-    told: dict[tuple[int, str], tuple[float, str]] = field(default_factory=dict)  # last word on each server
     drains: dict[tuple[int, str], float] = field(default_factory=dict)  # when a node was told
     cut: dict[tuple[int, str], list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
     away: dict[int, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -13,6 +13,20 @@
 from rig.fleet.play import Report, play
 from rig.fleet.scenario import ScenarioError, parse
 
+CROWD = """
+        [servers]
+        cores = 2.0
+        cold_from = 0.13
+        [traffic]
+        rate = 80.0
+"""
+COLD = """
+        [[faults]]
+        at_s = 0.3
+        kind = "replace"
+        servers = [0, 1, 2, 3, 4]
+        for_s = 0.8
+"""
 PLAYS = {
     "a proxy killed and back, another stopped": """
         [[faults]]
@@ -67,31 +81,8 @@
         servers = [2]
         for_s = 1.0
     """,
-    "a crowd while five of six servers are cold": """
-        [servers]
-        cores = 2.0
-        cold_from = 0.13
-        [traffic]
-        rate = 80.0
-        [[faults]]
-        at_s = 0.3
-        kind = "replace"
-        servers = [0, 1, 2, 3, 4]
-        for_s = 0.8
-    """,
-    "half of a crowd through one proxy while five of six servers are cold": """
-        [servers]
-        cores = 2.0
-        cold_from = 0.13
-        [traffic]
-        rate = 80.0
-        busiest = 0.5
-        [[faults]]
-        at_s = 0.3
-        kind = "replace"
-        servers = [0, 1, 2, 3, 4]
-        for_s = 0.8
-    """,
+    "a crowd while five of six servers are cold": CROWD + COLD,
+    "half of a crowd through one proxy while five of six servers are cold": CROWD + "busiest = 0.5" + COLD,
     "the directory cut from a third, while a server drains": """
         [[faults]]
         at_s = 0.5
