Open a silent watch anew in time, and ask the agent of pushed lists as long as grace lasts

Ruled out: sends decided long before (connects took milliseconds), a late list (told in one turn with its arrival). Cause: Directory.watch_on waited 2 s past the long poll, just when the news counts as told (WATCH_MS + PATIENCE_NS), the module then backed off 0.25 to 0.5 s, and all proxies' watches, opened together, queued together. Found beside it by review: with pushed lists a failed call backed off up to 10 s and a silent one was waited for 12 s, while what the agent has counts at once, also from a new process's first moment (Module decided by the file's old list before); a reload that names the same address left a silent watch as it was; a silent call at a new address ended after 6 s, over the 4 s; a late answer counted towards believing older lists; in one step requests were placed before the list that came in the same turn. Now Directory alone knows the list's age: waits drawn from 7.5 to 10 s, 0.75 s of patience, silence is answered by a new call at once, an agent is asked within its grace, and a new process with pushed lists decides nothing before the agent's first word or silence.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -26,7 +26,7 @@
     read_broker_file,
     read_config,
 )
-from linnetshift.net.directory import Directory, Roster, describe
+from linnetshift.net.directory import Directory, Pace, Roster, describe
 from linnetshift.net.handover import Holdings, Inherited, Legacy, Place, Succession, meet, spent
 from linnetshift.net.limits import Strangers
 from linnetshift.net.loop import MS, Loop, S
@@ -57,14 +57,25 @@
         self.gate = ProviderGate(loop)
         inherited = Inherited(legacy, self.names)
         known = inherited.roster or config.known
-        self.directory = Directory(loop, config.directory, self.names, known, self.listed)
-        self.module = Module(loop)
+        pushed = not config.settings.must_ask
+        # What the agent of pushed lists has counts as told from the start, whatever the file says.
+        self.module = Module(loop, waiting=pushed)
+        self.directory = Directory(
+            loop,
+            config.directory,
+            self.names,
+            known,
+            self.listed,
+            Pace.of(config.settings),
+            config.seed,
+            self.module.informed,
+        )
         self.broker = self.module.broker = self.gate.broker = Broker(
             config.settings, config.seed, loop.now, self.module, self.directory, self.gate, own.contracts
         )
         self.module.start(self.module.live())
         self.directory.start(self.directory.live())
-        if not config.settings.must_ask:
+        if pushed:
             # Pushed lists stop at the agent on this machine, and the module never asks for them.
             self.directory.watch(True)
         self.strangers = Strangers(loop, config.sockets)
@@ -292,7 +303,7 @@
         self.loop.call_later(DROPPED_NS, lambda: self.names.forget(dropped, self.config.settings.numbers))
         if config.known.event.version > self.directory.version:
             self.listed(config.known)
-        self.directory.relocate(config.directory)
+        self.directory.relocate(config.directory, Pace.of(config.settings))
         log.note(
             "reloaded",
             directory=f"{config.directory[0]}:{config.directory[1]}",
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -77,6 +77,8 @@
         events, self.inbox = self.inbox, []
         if not events:
             return
+        # News of hosts goes first: what came in the same turn is not to be placed by an older list.
+        events.sort(key=lambda event: type(event) is not api.HostList)
         for action in self.balancer.step(self.clock(), events):
             self.perform(action)
 
--- a/linnetshift/net/directory.py
+++ b/linnetshift/net/directory.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import random
 import select
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -19,10 +20,8 @@
 from linnetshift.net.provider import Dialing, Endpoint, Steps, parse_endpoint
 from linnetshift.net.stream import End
 
-# How long a watch may stay without news. What a silent directory had to tell counts as told 2 s later.
-WATCH_MS = 10_000
-PATIENCE_NS = 2 * S
-CALL_NS = 6 * S
+SOON_NS = 50 * MS  # before an agent on this machine is asked again that refused or failed a call
+SPREAD = 0.75  # waits are drawn from this share up: proxies whose watches ended together call one by one
 DOUBT_NS = 30 * S  # how long an answer that contradicts what is known must hold to be believed
 AGAIN_NS = 2 * S  # after an answer with unreadable entries
 MOST_BODY = 1 << 20  # thousands of providers; read, it takes some ten times as much memory
@@ -30,6 +29,27 @@
 STATES = {"SERVING": HostState.READY, "DRAINING": HostState.DRAINING, "DELETED": HostState.GONE}
 
 
+class Pace(NamedTuple):
+    """How long the directory is waited for: some time after it falls silent, its news counts as told."""
+
+    pushed: bool  # the lists come to an agent on this machine, which answers at once and at no cost
+    wait_ms: int  # how long a watch may stay without news
+    patience_ns: int  # and how much longer its answer may take
+    call_ns: int  # for the whole list
+
+    @classmethod
+    def of(cls, settings: api.Settings) -> Pace:
+        """A silent directory's news counts as told 2 s past the wait, at the soonest after 6 s of silence.
+
+        An agent's counts from the moment it has them, watch or no watch, so a silent one is asked again while
+        the grace still lasts. One call at a shared directory costs as much as tens of lines.
+        """
+        if settings.must_ask:
+            return cls(False, 10_000, 750 * MS, 2200 * MS)
+        grace = max(100 * MS, min(settings.drain_grace_ns, 4 * S))
+        return cls(True, grace * 2 // 5 // MS, grace // 4, grace // 2)
+
+
 class Roster(NamedTuple):
     """A list or its changes, as the module wants it, and where the providers listen."""
 
@@ -100,6 +120,7 @@
 class Answer(NamedTuple):
     call: Call
     document: Any  # None where the call failed
+    silent: bool = False  # for want of an answer
 
 
 class Call(Dialing):
@@ -110,19 +131,20 @@
         self.endpoint, self.path, self.limit_ns, self.directory = endpoint, path, limit_ns, directory
 
     def live(self) -> Script:
-        timer = self.alarm(self.limit_ns, "call")
+        until = self.loop.now() + self.limit_ns
         document, error = None, "unreachable"
-        if (yield from self.connect(self.endpoint, PATIENCE_NS)):
+        if (yield from self.connect(self.endpoint, self.limit_ns)):
+            timer = self.alarm(until - self.loop.now(), "call")
             try:
                 document, error = (yield from self.exchange()), ""
             except (h11.RemoteProtocolError, ValueError, ConnectionError, TimeoutError) as failure:
                 error = f"{type(failure).__name__}: {log.words(failure)}"
-        timer.cancel()
+            timer.cancel()
         if self.stream is not None:
             self.stream.close()
         if document is None:
             log.note("directory-call-failed", path=self.path, error=error[:MOST_TOLD])
-        self.directory.post(Answer(self, document))
+        self.directory.post(Answer(self, document, document is None and self.loop.now() >= until))
 
     def gave_up(self) -> None:
         self.directory.post(Answer(self, None))
@@ -178,24 +200,41 @@
 
 class Relocate(NamedTuple):
     endpoint: Endpoint
+    pace: Pace
 
 
 class Directory(Actor):
-    """Keeps the watch that the module asked for and reports lists, changes and failures."""
+    """Keeps the watch that the module asked for and reports lists, changes and failures.
+
+    It alone knows how old the list is: a watch that fell silent is opened anew at once, and one that failed
+    too where the lists are pushed. Elsewhere the module is told of failures, and says when to ask again.
+    """
 
     def __init__(
-        self, loop: Loop, endpoint: Endpoint, names: Names, known: Roster, told: Callable[[Roster], None]
+        self,
+        loop: Loop,
+        endpoint: Endpoint,
+        names: Names,
+        known: Roster,
+        told: Callable[[Roster], None],
+        pace: Pace,
+        seed: int = 0,
+        heard: Callable[[], None] = lambda: None,
     ) -> None:
+        """`heard` is called once the first call has ended, with an answer or without."""
         super().__init__(loop)
-        self.endpoint, self.names, self.told = endpoint, names, told
+        self.endpoint, self.names, self.told, self.pace, self.heard = endpoint, names, told, pace, heard
+        self.random = random.Random(seed)
         self.version, self.some = known.event.version, bool(known.event.entries)
+        self.whole = False  # owed from an address that has not answered yet
         self.doubted_at = 0
         self.asking_again = False
         self.watching: Call | None = None
         self.former: Call | None = None  # the watch at an address that was left
 
-    def relocate(self, endpoint: Endpoint) -> None:
-        self.post(Relocate(endpoint))
+    def relocate(self, endpoint: Endpoint, pace: Pace) -> None:
+        """What it has counts as told soon after, so it is asked at once, whether or not it moved."""
+        self.post(Relocate(endpoint, pace))
 
     def watch(self, on: bool) -> None:
         self.post(Watch(on))
@@ -211,17 +250,25 @@
                 case Watch(on=False):
                     self.watching = None  # its answer is ignored
                 case Fetch():
-                    self.call(PATH, CALL_NS)
-                case Relocate(endpoint) if endpoint != self.endpoint:
-                    # The old address falls silent: nothing may wait for the watch there to end. Its last
-                    # answer still counts, if it brings one.
-                    self.endpoint, self.former = endpoint, self.watching or self.former
-                    self.watching = self.call(PATH, CALL_NS)
+                    self.call(PATH, self.pace.call_ns)
+                case Relocate(endpoint, pace):
+                    self.pace = pace
+                    if endpoint == self.endpoint and self.watching is not None:
+                        self.watching.end()  # it may have fallen silent
+                    elif endpoint != self.endpoint:
+                        # The old address falls silent: nothing may wait for the watch there to end. Its last
+                        # answer still counts, if it brings one before the new address does.
+                        self.former = self.watching or self.former
+                        self.endpoint, self.whole = endpoint, True
+                    self.watch_on()
                 case Timeout(tag="again"):
                     self.asking_again = False
-                    self.call(PATH, CALL_NS)
-                case Answer(call, document):
-                    self.answered(call, document)
+                    self.call(PATH, self.pace.call_ns)
+                case Timeout(tag="open") if self.watching is None:
+                    self.watch_on()
+                case Answer(call, document, silent):
+                    self.answered(call, document, silent)
+                    self.heard()
 
     def call(self, path: str, limit_ns: int) -> Call:
         call = Call(self.loop, self.endpoint, path, limit_ns, self)
@@ -230,46 +277,62 @@
 
     def watch_on(self) -> None:
         """The next call follows the last answer at once: after 200 ms it would be a new watch."""
-        path = f"{PATH}?since={self.version}&timeout_ms={WATCH_MS}"
-        self.watching = self.call(path, WATCH_MS * MS + PATIENCE_NS)
+        if self.whole:
+            self.watching = self.call(PATH, self.pace.call_ns)
+            return
+        wait_ms = int(self.pace.wait_ms * self.random.uniform(SPREAD, 1.0))
+        path = f"{PATH}?since={self.version}&timeout_ms={wait_ms}"
+        self.watching = self.call(path, wait_ms * MS + self.pace.patience_ns)
 
-    def answered(self, call: Call, document: Any) -> None:
+    def answered(self, call: Call, document: Any, silent: bool) -> None:
         kept, former = call is self.watching, call is self.former
-        if former:
+        if kept:
+            self.watching = None
+        elif former:
             self.former = None
-        if (former and document is None) or not (kept or former or call.path == PATH):
+        elif call.path != PATH or call.endpoint != self.endpoint:
             return
         try:
             roster = read_list(document, self.names)
-            self.doubt(roster.event)
+            self.doubt(roster.event, kept)
         except ValueError as error:
             if document is not None:
                 log.note("directory-answer-unused", error=str(error)[:MOST_TOLD])
             if kept:
-                self.watching = None
-            if not former:
-                self.told(Roster(api.HostList(ListForm.FAILED, 0, ()), {}, 0))
+                self.watch_lost(silent)
             return
         self.version = roster.event.version
         if roster.event.form == ListForm.FULL:
             self.some = bool(roster.event.entries)
-        self.told(roster)
+        if roster.event.entries or roster.event.form == ListForm.FULL or not self.pace.pushed:
+            self.told(roster)  # an agent is asked some times a second, and mostly has no news
         if roster.unread and not self.asking_again:
             self.asking_again = True
             self.alarm(AGAIN_NS, "again")
         if kept:
+            self.whole, self.former = False, None  # what the address left behind says is older
             self.watch_on()
 
-    def doubt(self, event: api.HostList) -> None:
+    def watch_lost(self, silent: bool) -> None:
+        if silent:
+            self.watch_on()  # that was wait enough
+        elif self.pace.pushed:
+            self.alarm(SOON_NS, "open")
+        else:
+            self.told(Roster(api.HostList(ListForm.FAILED, 0, ()), {}, 0))
+
+    def doubt(self, event: api.HostList, kept: bool) -> None:
         """An older list, or one that is suddenly empty, may be a slip: it is used only if it stays so.
 
-        At once it would end every connection, or send new ones to providers that are known to leave.
+        At once it would end every connection, or send new ones to providers that are known to leave. From
+        any call but the watch it is only late.
         """
         older = event.version < self.version
         if not older and (event.entries or event.form != ListForm.FULL or not self.some):
             self.doubted_at = 0
             return
-        self.doubted_at = self.doubted_at or self.loop.now()
-        if self.loop.now() - self.doubted_at < DOUBT_NS:
+        if kept:
+            self.doubted_at = self.doubted_at or self.loop.now()
+        if not kept or self.loop.now() - self.doubted_at < DOUBT_NS:
             raise ValueError(f"version {event.version} after {self.version}" if older else "an empty list")
         self.doubted_at = 0
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -24,6 +24,16 @@
 
     broker: Broker
 
+    def __init__(self, loop: Loop, waiting: bool = False) -> None:
+        """`waiting`: nothing is decided before the directory's first word, or its failure to say any."""
+        super().__init__(loop)
+        self.waiting = waiting
+
+    def informed(self) -> None:
+        if self.waiting:
+            self.waiting = False
+            self.soon()
+
     def soon(self) -> None:
         self.post(None)
 
@@ -55,6 +65,8 @@
                     self.decide()
 
     def decide(self) -> None:
+        if self.waiting:
+            return
         try:
             self.broker.drain()
         except Exception as error:
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -216,8 +216,8 @@
     def on_list_failed(self) -> None:
         """Ask again after a back-off, jittered so that nodes refused together do not return together."""
         self.ask_failures = min(self.ask_failures + 1, 5)
-        longest = self.settings.must_ask_in_ns
-        wait = min(longest // 40 << self.ask_failures, longest) * self.random.uniform(0.5, 1.0)
+        longest = self.settings.must_ask_in_ns // 4  # once it is back, its news soon counts as told
+        wait = min(longest // 10 << self.ask_failures, longest) * self.random.uniform(0.5, 1.0)
         self.ask_token = (self.ask_token + 1) & 0xFFFF
         self.out.append(api.SetTimer(int(wait), self.ask_token))
 
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -31,6 +31,7 @@
 ROOT = Path(__file__).parent.parent
 WAIT = 20.0  # no wait is longer; all of them end with the event waited for
 OPEN = b"OPEN %016x 7f3a9c21e0b4d655 c=feed,t=acme,d=%d\r\n"
+RESET = struct.pack("ii", 1, 0)  # a close with this lingering resets
 IDS = count(0x9B1F03AA5C7E2D41)  # new with every connection
 
 
@@ -69,7 +70,7 @@
 
     def close(self, how: str = "fin") -> None:
         if how == "reset":
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.sock.close()
 
 
@@ -167,11 +168,22 @@
         }
 
 
+class Kept(NamedTuple):
+    """A call that is not answered until it is let go, and then with the list as it was when the call came."""
+
+    path: str
+    body: bytes
+    let_go: threading.Event
+
+
 class Directory:
-    """Answers list calls; a watch waits for news. `failing` makes every call a 503."""
+    """Answers list calls; a watch waits for news. `failing` makes every call a 503, `silent` keeps it."""
 
-    def __init__(self, listeners: list[Listener]) -> None:
-        self.listeners, self.rev, self.failing = listeners, 1, False
+    def __init__(self, listeners: list[Listener], indent: int | None = None) -> None:
+        self.listeners, self.rev, self.failing, self.indent = listeners, 1, False, indent
+        self.silent = False
+        self.kept: queue.Queue[Kept] = queue.Queue()
+        self.resets = False  # a watch that waits is reset in place of an answer
         self.instead: list[object] = []
         self.news = threading.Condition()
         self.calls: queue.Queue[str] = queue.Queue()
@@ -181,23 +193,40 @@
             def do_GET(self) -> None:
                 outer.calls.put(self.path)
                 asked = parse_qs(urlsplit(self.path).query)
+                if outer.silent:
+                    kept = Kept(self.path, json.dumps(outer.listing()).encode(), threading.Event())
+                    outer.kept.put(kept)
+                    kept.let_go.wait()
+                    self.answer(200, kept.body)
+                    return
                 with outer.news:
                     if "since" in asked and not outer.failing:
                         wait = int(asked["timeout_ms"][0]) / 1000
                         since = int(asked["since"][0])
-                        outer.news.wait_for(lambda: outer.rev > since or outer.failing, wait)
+                        outer.news.wait_for(lambda: outer.rev > since or outer.failing or outer.resets, wait)
+                        if outer.resets:
+                            outer.resets = False
+                            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                            return
                     told = outer.instead.pop() if outer.instead else outer.listing()
-                    body = told if isinstance(told, bytes) else json.dumps(told).encode()
-                self.send_response(503 if outer.failing else 200)
-                self.send_header("Content-Length", str(len(body)))
+                    body = told if isinstance(told, bytes) else json.dumps(told, indent=outer.indent).encode()
+                self.answer(503 if outer.failing else 200, body)
+
+            def answer(self, status: int, body: bytes) -> None:
                 with suppress(ConnectionError):  # the proxy is gone at a test's end
+                    self.send_response(status)
+                    self.send_header("Content-Length", str(len(body)))
                     self.end_headers()
                     self.wfile.write(body)
 
             def log_message(self, *_: object) -> None:
                 pass
 
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        class Server(ThreadingHTTPServer):
+            def shutdown_request(self, request: Any) -> None:
+                self.close_request(request)  # no plain end before the reset of one that lingers
+
+        self.server = Server(("127.0.0.1", 0), Handler)
         self.server.daemon_threads = True
         threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
 
@@ -212,6 +241,12 @@
             self.rev += 1
             self.news.notify_all()
 
+    def reset_watches(self) -> None:
+        """The one that waits now; what is asked from then on is answered."""
+        with self.news:
+            self.resets = True
+            self.news.notify_all()
+
     def says(self, answer: object) -> None:
         """This once, in place of the list; bytes as they are."""
         with self.news:
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,205 @@
+"""A directory that falls silent, answers late, is reset or comes back: what it had to tell counts as told."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+import pytest
+from conftest import MS, S, raw_settings
+from proxy import WAIT, Directory, Kept, Listener, Proxy, inside, launch, proxy, world
+from test_platform import ranked
+
+from linnetshift import interface as api
+from linnetshift.net.directory import Pace
+
+NEVER = {"rules": {"mustAskInNs": 3600 * S}}  # a back-off of minutes: who waits for it asks no more in a test
+PUSHED = {"discovery": "push"}
+
+
+def pace(**changes: object) -> Pace:
+    return Pace.of(api.Settings.parse(raw_settings(**changes)))
+
+
+def test_a_silent_watch_is_given_up_before_its_news_counts_as_told() -> None:
+    # It was waited for until that very moment, and the next call backed off and queued after it.
+    asked = pace(discovery="ask")
+    counts = max(6 * S, asked.wait_ms * MS + 2 * S)
+    assert asked.wait_ms * MS + asked.patience_ns + S <= counts
+
+
+@pytest.mark.parametrize("grace_ms", [250, 1000, 2500, 60_000])
+def test_the_agent_is_asked_again_while_the_grace_lasts(grace_ms: int) -> None:
+    told = pace(discovery="push", rules={"drainGraceNs": grace_ms * MS})
+    assert told.wait_ms * MS + told.patience_ns <= grace_ms * MS * 3 // 4
+    assert told.call_ns <= grace_ms * MS and told.wait_ms > 0 and told.patience_ns >= 25 * MS
+
+
+def drained(running: Proxy, first: Listener, second: Listener) -> None:
+    """`first` is known to leave: the key that it is best for goes to the other one."""
+    running.logged("event=listed .*draining=1")
+    consumer = running.open()
+    assert running.asked() is second
+    second.serve()
+    assert consumer.line() == b"UP r1\r\n"
+    assert first.state == "DRAINING"
+
+
+def silent_call(running: Proxy) -> Kept:
+    return running.directory.kept.get(timeout=WAIT)
+
+
+def test_a_watch_that_fell_silent_is_opened_anew_without_a_back_off(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Silent from its start: the next one was asked for 12 s later and after a back-off, too late.
+    short = classmethod(lambda cls, _: cls(False, 200, 100 * MS, 300 * MS))
+    monkeypatch.setattr(Pace, "of", short)
+    with inside(tmp_path, **NEVER) as running:
+        running.directory.silent = True
+        running.directory.change()  # ends the watch that was open; the next is never answered
+        assert "since=" in silent_call(running).path
+        assert "since=" in silent_call(running).path
+
+
+def test_an_agent_is_asked_again_after_each_way_in_which_it_fails(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=2, **PUSHED, **{"rules": NEVER["rules"]}) as running:
+        first, second = ranked(running)
+        running.directory.silent = True
+        running.directory.change()
+        for _ in range(3):  # as long as it stays silent
+            silent_call(running)
+        running.directory.fail(True)
+        running.directory.silent = False
+        running.logged("event=directory-call-failed .*503")
+        running.logged("event=directory-call-failed .*503")
+        running.directory.fail(False)
+        running.directory.change(**{first.uid: "DRAINING"})
+        drained(running, first, second)
+
+
+def test_a_watch_of_pushed_lists_that_is_reset_is_opened_at_once(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=2, **PUSHED, **{"rules": NEVER["rules"]}) as running:
+        first, second = ranked(running)
+        running.directory.reset_watches()
+        running.logged("event=directory-call-failed .*[Rr]eset")
+        running.directory.change(**{first.uid: "DRAINING"})
+        drained(running, first, second)
+
+
+def test_a_new_process_sends_nothing_before_the_agent_s_first_word(tmp_path: Path) -> None:
+    # The list in its file is old; what the agent has counts as told from the first moment.
+    with world(tmp_path, providers=2, **PUSHED) as made:
+        first, second = made.listeners
+        first.state = "DRAINING"
+        made.directory.rev += 1
+        made.directory.silent = True
+        process = launch(str(made.config), str(made.own))
+        running = Proxy(process, made.port, made.extra)
+        running.listeners, running.directory, running.config = made.listeners, made.directory, made.config
+        try:
+            running.logged("event=started")
+            kept = made.directory.kept.get(timeout=WAIT)
+            consumers = [running.client(line(key)) for key in range(1, 9)]  # some are better at the first
+            assert running.alive()
+            made.directory.silent = False
+            kept.let_go.set()
+            providers = []
+            for _ in consumers:
+                assert running.asked() is second
+                providers.append(second.serve())
+            assert {each.line() for each in consumers} == {b"UP r1\r\n"}
+        finally:
+            process.kill()
+            process.wait(WAIT)
+
+
+def line(key: int) -> bytes:
+    return b"OPEN %016x %016x c=feed,t=acme,d=2000\r\n" % (key, key)
+
+
+@pytest.mark.parametrize("discovery", ["push", "ask"])
+def test_a_new_process_serves_though_the_directory_never_says_a_word(tmp_path: Path, discovery: str) -> None:
+    with world(tmp_path, discovery=discovery) as made:
+        made.directory.silent = True
+        process = launch(str(made.config), str(made.own))
+        running = Proxy(process, made.port, made.extra)
+        running.listeners, running.directory = made.listeners, made.directory
+        try:
+            running.logged("event=started")
+            assert running.alive()
+            consumer = running.open()
+            made.listeners[0].serve()
+            assert consumer.line() == b"UP r1\r\n"
+        finally:
+            process.kill()
+            process.wait(WAIT)
+
+
+@pytest.mark.parametrize("discovery", ["push", "ask"])
+def test_a_reload_asks_at_once_though_nothing_moved(tmp_path: Path, discovery: str) -> None:
+    # The watch had fallen silent, and a reload that names the same address left it so.
+    with proxy(tmp_path, providers=2, discovery=discovery, rules=NEVER["rules"]) as running:
+        first, second = ranked(running)
+        running.directory.silent = True
+        running.directory.change()
+        silent_call(running)
+        first.state = "DRAINING"
+        running.directory.rev += 1
+        running.directory.silent = False
+        running.process.send_signal(signal.SIGHUP)
+        running.logged("event=reloaded")
+        drained(running, first, second)
+
+
+def test_a_late_answer_of_the_old_address_undoes_nothing(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=2, rules=NEVER["rules"]) as running:
+        first, second = ranked(running)
+        running.directory.silent = True
+        running.directory.change()
+        old = silent_call(running)  # it has both as serving, under the version that follows
+        later = Directory(running.listeners)
+        later.rev = running.directory.rev
+        first.state = "DRAINING"
+        running.reload("event=reloaded", discovery=later.address)
+        running.logged("event=listed .*draining=1")
+        old.let_go.set()
+        consumer = running.open()
+        assert running.asked() is second
+        second.serve()
+        assert consumer.line() == b"UP r1\r\n"
+        running.directory.silent = False
+        assert not [line for line in running.unread() if "event=listed" in line]
+
+
+def test_a_new_address_that_is_silent_is_asked_again(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=2, rules=NEVER["rules"]) as running:
+        first, second = ranked(running)
+        later = Directory(running.listeners)
+        later.silent = True
+        running.reload("event=reloaded", discovery=later.address)
+        assert later.kept.get(timeout=WAIT).path == "/catalog/members"
+        later.silent = False
+        first.state = "DRAINING"
+        later.rev += 1
+        drained(running, first, second)
+
+
+@pytest.mark.parametrize("indent", [None, 2])
+def test_lists_may_come_indented_and_in_pieces(tmp_path: Path, indent: int | None) -> None:
+    with proxy(tmp_path, providers=2) as running:
+        first, second = ranked(running)
+        later = Directory(running.listeners, indent=indent)
+        first.state = "DRAINING"
+        later.rev += 1
+        running.reload("event=reloaded", discovery=later.address)
+        drained(running, first, second)
+
+
+def test_a_list_that_never_ends_is_given_up(tmp_path: Path) -> None:
+    with proxy(tmp_path, providers=2, **PUSHED) as running:
+        first, second = ranked(running)
+        running.directory.says(b'{"rev":9,"all":true,"targets":[' + b" " * (1 << 21))
+        running.logged("event=directory-call-failed .*too long")
+        running.directory.change(**{first.uid: "DRAINING"})
+        drained(running, first, second)
