Ask anew at the instant of sending, and never call harmless what may have run

ProviderLink.open wrote the line without another look, up to a connect's time after the module decided: to a provider that was listed as draining meanwhile (only operators' bans were looked at), for a consumer whose end was in its socket's buffer, and for a repeat whose window was over. Broker.may_send now says so in one place, asked by who sends; a consumer's end is looked for in its socket (MSG_PEEK), also before an attempt is dialled. 2. Departure and PlatformConsumer.wait answered BUSY, come again, whatever was out: an attempt of a class that may not simply be repeated may have run. Broker.harmless says so in one place, Broker.dismiss answers by it. 3. Policy.give_up refused keyed requests past their window, and place held a repeat until the deadline that no provider may have; an attempt was cut at the aim to leave room for one that may not follow. 4.

--- a/linnetshift/core/bans.py
+++ b/linnetshift/core/bans.py
@@ -98,6 +98,10 @@
     def holds(self, host: bytes) -> bool:
         return host in self.since
 
+    def ready(self, host: bytes) -> bool:
+        """Whether the directory last told that it serves."""
+        return host in self.listed and self.listed[host].state == HostState.READY
+
     def knows(self, host: bytes) -> bool:
         """Whether it was ever listed."""
         return host in self.listed
--- a/linnetshift/core/broker.py
+++ b/linnetshift/core/broker.py
@@ -220,6 +220,8 @@
         if invocation.out is not attempt:
             return
         invocation.part()
+        if outcome not in api.NEVER_RAN:
+            invocation.ran_at = invocation.ran_at or attempt.began
         if attempt.standing or invocation.answered:
             consumer = self.forget(invocation)
             if attempt.standing:
@@ -346,6 +348,9 @@
             number = 0 if invocation is None else invocation.attempts
             self.post(api.AttemptEnded(request, number, provider, True, 0, Outcome.MOOT, ()))
             return
+        if not invocation.consumer.present:  # its end is about to be read
+            self.post(api.AttemptEnded(request, invocation.attempts, provider, True, 0, Outcome.MOOT, ()))
+            return
         left = invocation.deadline - self.clock()
         within = min(timeout_ns, left) if timeout_ns > 0 else left
         self.open(invocation, provider, self.clock() + within)
@@ -356,6 +361,38 @@
         invocation.out = attempt
         self.providers.open(attempt)
 
+    def may_send(self, attempt: Attempt) -> bool:
+        """Whether the attempt's line may go out now. Asked at that instant, and by whoever sends.
+
+        Its connection took a while to come up, since the module decided: meanwhile the list may have told
+        that the provider leaves, operators may have taken it out, the consumer may have left, its time or the
+        time for repeats may be over.
+        """
+        invocation, provider, now = attempt.invocation, attempt.provider, self.clock()
+        if invocation.out is not attempt or invocation.answered or not invocation.consumer.present:
+            return False
+        if self.bans.holds(provider) or not (invocation.adopt or self.bans.ready(provider)):
+            return False
+        klass, first = self.settings.classes[invocation.klass], invocation.ran_at
+        return now < attempt.deadline and (not first or klass.may_run_again(first, now))
+
+    def harmless(self, invocation: Invocation) -> bool:
+        """Whether the consumer may be told that coming again is harmless."""
+        out = invocation.out
+        first = invocation.ran_at or (out.began if out is not None and out.sent else 0)
+        klass, again_by = (
+            self.settings.classes[invocation.klass],
+            self.clock() + self.settings.max_retry_after_ns,
+        )
+        return not first or klass.may_come_again(first, again_by)
+
+    def dismiss(self, invocation: Invocation) -> None:
+        """Answer it now, past the module: rejected where coming again is harmless, else failed."""
+        if self.harmless(invocation):
+            self.reject(invocation.id)
+        else:
+            self.fail(invocation.id)
+
     def reject(self, request: int, retry_after_ns: int = 0) -> None:
         if (consumer := self.answer(request)) is not None:
             consumer.reject(retry_after_ns, "")
--- a/linnetshift/core/invocation.py
+++ b/linnetshift/core/invocation.py
@@ -22,6 +22,10 @@
     def congested(self) -> bool:
         """Whether messages should wait; `Link.resume` is called once they need not."""
 
+    @property
+    def present(self) -> bool:
+        """Whether it has not left, as its connection tells at this very moment."""
+
     def up(self, receipt: memoryview) -> None: ...
 
     def deliver(self, message: memoryview) -> None: ...
@@ -46,6 +50,7 @@
     """
 
     congested = False
+    present = False
 
     def up(self, receipt: memoryview) -> None: ...
 
@@ -103,6 +108,7 @@
     id: int = 0
     began: int = 0
     attempts: int = 0
+    ran_at: int = 0  # when the first attempt that may have run was begun; 0 while none may have
     out: Attempt | None = None  # the attempt that is under way or stands
     answered: bool = False
     overdue: Alarm | None = None  # until it is answered: what then answers in the module's place
@@ -138,5 +144,6 @@
     deadline: int
     link: Link | None = None
     standing: bool = False
+    sent: bool = False  # its line has gone out, or part of it: from now on it may run
     load: float | None = None  # as the provider last told
     verdict: int = Outcome.CANCELLED  # how it ends when the consumer's side ends it
--- a/linnetshift/interface.py
+++ b/linnetshift/interface.py
@@ -91,6 +91,17 @@
     worth: float
     max_attempts: int
 
+    def may_run_again(self, first_ns: int, at_ns: int) -> bool:
+        """Whether one more run then has no further effect; `first_ns`: when what may have run was sent."""
+        if self.effect == Effect.KEYED:
+            return at_ns < first_ns + self.window_ns
+        return self.effect == Effect.REPEATABLE
+
+    def may_come_again(self, first_ns: int, at_ns: int) -> bool:
+        """Whether it is harmless to come again until then, wherever the consumer comes."""
+        everywhere = self.effect == Effect.REPEATABLE or self.scope == Scope.ALL
+        return everywhere and self.may_run_again(first_ns, at_ns)
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -72,6 +72,12 @@
     def congested(self) -> bool:
         return bool(self.pending)
 
+    @property
+    def present(self) -> bool:
+        """Whoever leaves unread what it was sent is not read from: its end may be waiting there."""
+        stream = self.session.stream
+        return self.number in self.session.channels and stream.reading and stream.present
+
     def up(self, receipt: memoryview) -> None:
         self.open = True
         if self.invocation.out is not None:
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -151,7 +151,7 @@
             if not self.held():
                 break
         for invocation in self.broker.unanswered():
-            self.broker.reject(invocation.id)
+            self.broker.dismiss(invocation)
         for invocation in self.broker.standing():
             self.broker.move(invocation.id, "moved")
         self.alarm(2 * STEP_NS, "flush")
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -193,6 +193,10 @@
     def congested(self) -> bool:
         return self.stream.congested
 
+    @property
+    def present(self) -> bool:
+        return self.stream.present
+
     def up(self, receipt: memoryview) -> None:
         if self.invocation is not None and self.invocation.out is not None:
             self.provider = self.invocation.out.provider
@@ -349,8 +353,11 @@
                 case Io():
                     end = self.stream.fill()
                     if end is not None and not invocation.answered:
+                        harmless = self.broker.harmless(invocation)
                         self.broker.consumer_ended(invocation, end is End.RESET)
-                        self.stream.send(b"BUSY\r\n")  # it may have ended only its sending
+                        self.stream.send(
+                            b"BUSY\r\n" if harmless else FAILED
+                        )  # perhaps it ended only its sending
                         return Reason.WITHDRAWN
                     if self.stream.stop > self.stream.start and not invocation.answered:
                         # Unread, it would hide that the consumer ended; a provider could not use it.
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -180,10 +180,13 @@
             return Outcome.CONNECT_FAILED
         stream = self.stream
         assert stream is not None
-        if self.broker.bans.holds(self.attempt.provider):
-            # Taken out while this was dialled: not a byte may reach it, and the module places it anew.
-            self.reason = Reason.ABANDONED
+        if not self.broker.may_send(self.attempt):
+            self.reason = Reason.ABANDONED  # not a byte may reach it; the module places it anew, if it may
             return Outcome.MOOT
+        if not stream.present:
+            self.reason = Reason.PROVIDER_LEFT  # closed as soon as it was accepted: nothing can run there
+            return Outcome.CONNECT_FAILED
+        self.attempt.sent = True
         left = self.attempt.deadline - self.loop.now()
         stream.send(self.attempt.invocation.opening(max(1, left // MS)))
         timer = self.alarm(left, "answer")
--- a/linnetshift/net/stream.py
+++ b/linnetshift/net/stream.py
@@ -122,6 +122,18 @@
         self.stop += got
         return None
 
+    @property
+    def present(self) -> bool:
+        """Whether the peer's end has not come yet, for who must know it before it is read."""
+        if self.closed or self.broken:
+            return False
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
     def drain(self) -> int:
         """Read once and let it go; how much there was, -1 once the peer has ended."""
         self.start = self.stop = 0
--- a/linnetshift/policy.py
+++ b/linnetshift/policy.py
@@ -111,7 +111,7 @@
     erred: list[Host] = field(default_factory=list)  # hosts that answered it with an error
     tried: list[Host] = field(default_factory=list)
     unsure: Host | None = None  # host of the first attempt that may have run
-    window: int = 0  # and when its repeats cease to be discarded
+    ran_at: int = 0  # and when that was sent
 
 
 class Balancer:
@@ -551,8 +551,10 @@
     def place(self, item: Pending) -> None:
         request, klass = item.request, item.klass
         left = item.deadline - self.now
-        once = item.unsure is not None and klass.effect == Effect.ONCE
-        if left <= 0 or item.attempt + 1 >= klass.max_attempts or once:
+        late = item.unsure is not None and not klass.may_run_again(
+            item.ran_at, self.now + self.settings.connect_timeout_ns
+        )  # a repeat counts once its last byte has come, which is after the connection is up
+        if left <= 0 or item.attempt + 1 >= klass.max_attempts or late:
             self.give_up(item)
             return
         mid_flow = bool(request.flags & api.MID_FLOW) and item.attempt < 0
@@ -608,7 +610,11 @@
 
     def send(self, item: Pending, host: Host, left: int) -> None:
         # Leave room for another try, unless what would be left is too short for one or all are slow.
+        # Where one more would come too late to be harmless, all the time that is left serves this one.
         another = item.attempt + 2 < item.klass.max_attempts and not self.window.jammed
+        another = another and item.klass.may_run_again(
+            0, item.klass.aim_ns + self.settings.connect_timeout_ns
+        )
         within = item.klass.aim_ns if another and left >= 2 * item.klass.aim_ns else left
         item.attempt += 1
         item.host = host
@@ -627,15 +633,13 @@
         klass, first = item.klass, item.unsure
         if first is None or klass.effect == Effect.REPEATABLE:
             return True
-        if klass.effect == Effect.ONCE or self.now >= item.window:
-            return False
         if klass.scope == Scope.ALL:
             return True
         return host.zone == first.zone if klass.scope == Scope.ZONE else host.cell == first.cell
 
     def give_up(self, item: Pending) -> None:
-        keyed = item.klass.effect == Effect.KEYED and item.klass.scope == Scope.ALL
-        harmless = item.unsure is None or item.klass.effect == Effect.REPEATABLE or keyed
+        again_by = self.now + self.settings.max_retry_after_ns
+        harmless = item.unsure is None or item.klass.may_come_again(item.ran_at, again_by)
         self.finish(item)
         if harmless and item.deadline > self.now:
             self.out.append(api.Refuse(item.request.request, self.settings.max_retry_after_ns))
@@ -710,7 +714,7 @@
             return
         if event.outcome not in api.NEVER_RAN and item.unsure is None:
             item.unsure = host
-            item.window = self.now - event.elapsed_ns + item.klass.window_ns
+            item.ran_at = self.now - event.elapsed_ns
         self.place(item)
 
     def on_withdrawn(self, event: api.Withdrawn) -> None:
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -29,7 +29,9 @@
 from linnetshift.net.config import read_broker_file, read_config
 
 ROOT = Path(__file__).parent.parent
-WAIT = 20.0  # no wait is longer; all of them end with the event waited for
+WAIT = float(
+    os.environ.get("TEST_WAIT", "20")
+)  # no wait is longer; all of them end with the event waited for
 OPEN = b"OPEN %016x 7f3a9c21e0b4d655 c=feed,t=acme,d=%d\r\n"
 RESET = struct.pack("ii", 1, 0)  # a close with this lingering resets
 IDS = count(0x9B1F03AA5C7E2D41)  # new with every connection
@@ -148,6 +150,25 @@
     def accept(self) -> Conn:
         return Conn(self.sock.accept()[0])
 
+    def stall(self) -> None:
+        """From now on connections do not come up: the queue of those to accept is full."""
+        self.sock.listen(0)
+        self.filler = socket.create_connection(("127.0.0.1", self.port), WAIT)
+
+    def dialled(self) -> None:
+        """Waits until somebody's connection tries to come up: the kernel lists it as SYN_SENT."""
+        until = time.monotonic() + WAIT
+        wanted = re.compile(rf":{self.port:04X} 02 ")
+        while not wanted.search(Path("/proc/net/tcp").read_text()):
+            assert time.monotonic() < until
+            time.sleep(0.002)
+
+    def go_on(self) -> None:
+        """They come up late, when they next try."""
+        self.sock.listen(128)
+        self.accept().close()
+        self.filler.close()
+
     def serve(self) -> Conn:
         """Accept one connection, read its first line and let it stand."""
         conn = self.accept()
@@ -355,6 +376,16 @@
         self.process.send_signal(signal.SIGHUP)
         self.logged(says)
 
+    @contextmanager
+    def stopped(self) -> Iterator[None]:
+        """Meanwhile it runs not at all; then all that happened is there at once, in the order it came."""
+        self.process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WNOWAIT)
+        try:
+            yield
+        finally:
+            self.process.send_signal(signal.SIGCONT)
+
     def leave(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -18,6 +18,7 @@
     """Timers, directory, providers and a consumer; it writes down what it is asked for."""
 
     congested = False
+    present = True
 
     def __init__(self, contracts: Contracts | None = None) -> None:
         self.now = 1 * S
--- /dev/null
+++ b/tests/test_owed.py
@@ -0,0 +1,309 @@
+"""Each state of an invocation against each event that ends something: what is owed then, and to whom.
+
+The bad order is forced: connections that come up late (a full queue at the provider), and a program that is
+stopped while both ends act, so that it finds what they did in one turn and in that order.
+"""
+
+from __future__ import annotations
+
+import re
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from conftest import MS, S
+from proxy import WAIT, Conn, Listener, Proxy, Terminal, proxy, settings
+from test_platform import ranked
+
+CHANNELS = '[channels]\nenabled = true\nlisten = "127.0.0.1:PORT"\n'
+ONCE = {"effect": "once"}
+LONG = 9000  # ms; shorter than twice the aim, so that all of it is one attempt's
+LINE = b"OPEN 77 7f3a9c21e0b4d655 c=feed,t=acme,d=%d\r\n"
+
+
+@contextmanager
+def patient(folder: Path, providers: int = 2, own: str = "", **klass: Any) -> Iterator[Proxy]:
+    """Waits long for a connection to come up; the class has other rules where some are given."""
+    base = settings()["services"][0]
+    service = {**base, "aimNs": 10 * S, "hardLimitNs": 20 * S, **klass}
+    with proxy(
+        folder, providers, own, services=[service], allowed={"connectTimeoutNs": 10 * S, "maxAttempts": 4}
+    ) as running:
+        yield running
+
+
+def connecting(running: Proxy, first: Listener, wait_ms: int = LONG) -> Conn:
+    first.stall()
+    consumer = running.client(LINE % wait_ms)
+    first.dialled()
+    return consumer
+
+
+def held(running: Proxy, first: Listener, wait_ms: int = LONG) -> tuple[Conn, list[tuple[Conn, Conn]]]:
+    """As many attempts are out as may be; those, and the one that waits for one of them to end."""
+    out = []
+    for number in range(9):  # eight, and one more for the swift set-up that came before
+        consumer = running.client(LINE.replace(b"77", b"%d" % number) % LONG)
+        out.append((consumer, first.accept()))
+        assert out[-1][1].line().startswith(b"OPEN %d " % number)
+    consumer = running.client(LINE % wait_ms)
+    assert running.alive()  # its line was read before that of the one who asks
+    return consumer, out
+
+
+def let_go(out: list[tuple[Conn, Conn]]) -> None:
+    for _, provider in out:
+        provider.send(b"UP r1\r\n")
+
+
+def sent(running: Proxy, first: Listener, wait_ms: int = LONG) -> tuple[Conn, Conn]:
+    consumer = running.client(LINE % wait_ms)
+    provider = first.accept()
+    assert provider.line().startswith(b"OPEN 77 ")
+    return consumer, provider
+
+
+# ---- a connection that comes up late ---------------------------------------------------------
+
+
+def test_one_that_was_told_to_leave_while_it_was_dialled_gets_not_a_byte(tmp_path: Path) -> None:
+    # The list was looked at when the module decided, up to a connect's time before the line went out.
+    with patient(tmp_path) as running:
+        first, second = ranked(running)
+        consumer = connecting(running, first)
+        running.directory.change(**{first.uid: "DRAINING"})
+        running.logged("event=listed .*draining=1")
+        first.go_on()
+        assert first.accept().line() == b""
+        second.serve()
+        assert consumer.line() == b"UP r1\r\n"
+
+
+@pytest.mark.parametrize("front", ["platform", "channels"])
+@pytest.mark.parametrize("how", ["fin", "reset"])
+def test_nothing_is_sent_for_a_consumer_that_has_left(tmp_path: Path, front: str, how: str) -> None:
+    # The connection came up before the consumer's end was read, though after it had come.
+    with patient(tmp_path, own=CHANNELS) as running:
+        first, _ = ranked(running)
+        first.stall()
+        if front == "channels":
+            consumer: Conn = Terminal(running.extra_port)
+            assert isinstance(consumer, Terminal)
+            consumer.open(5, key=0x7F3A9C21E0B4D655, wait_ms=LONG)
+        else:
+            consumer = running.client(LINE % LONG)
+        first.dialled()
+        with running.stopped():
+            first.go_on()
+            provider = first.accept()
+            consumer.close(how)
+        assert provider.line() == b""
+        running.logged("side=consumer reason=withdrawn" if front == "platform" else "side=channel")
+        again = running.client(LINE.replace(b"77", b"78") % LONG)
+        assert first.accept().line().startswith(b"OPEN 78 ") and again
+
+
+def test_nothing_is_sent_for_one_that_left_before_it_was_accepted(tmp_path: Path) -> None:
+    with patient(tmp_path) as running:
+        first, _ = ranked(running)
+        with running.stopped():
+            gone = [running.client(LINE.replace(b"77", b"%d" % n) % LONG) for n in range(100, 108)]
+            for consumer in gone:
+                consumer.close()
+        again = running.client(LINE % LONG)
+        assert first.accept().line().startswith(b"OPEN 77 ") and again
+
+
+def test_a_held_request_of_one_who_left_is_not_sent_when_its_turn_comes(tmp_path: Path) -> None:
+    with patient(tmp_path) as running:
+        first, _ = ranked(running)
+        consumer, out = held(running, first)
+        with running.stopped():
+            let_go(out)
+            consumer.close()
+        running.logged("side=consumer reason=withdrawn .*attempts=0")
+        again = running.client(LINE.replace(b"77", b"78") % LONG)
+        assert first.accept().line().startswith(b"OPEN 78 ") and again
+
+
+def test_one_that_closes_as_it_accepts_proves_that_nothing_ran(tmp_path: Path) -> None:
+    # The line was written to a connection that was known to be over, and counted as what may have run.
+    with patient(tmp_path, **ONCE) as running:
+        first, second = ranked(running)
+        consumer = connecting(running, first)
+        with running.stopped():
+            first.go_on()
+            first.accept().close()
+        second.serve()
+        assert consumer.line() == b"UP r1\r\n"
+
+
+def test_a_repeat_is_not_sent_once_its_window_is_over(tmp_path: Path) -> None:
+    # Looked at when the module decided, and not when the connection was up and the line went out.
+    window = {"effect": "by_key", "group": "all", "windowNs": 2 * S}
+    base = {**settings()["services"][0], "aimNs": 10 * S, "hardLimitNs": 20 * S, **window}
+    with proxy(tmp_path, 2, services=[base], allowed={"connectTimeoutNs": 1500 * MS}) as running:
+        first, second = ranked(running)
+        second.stall()
+        consumer, provider = sent(running, first)
+        provider.send(b"ERR\r\n")
+        second.dialled()
+        with running.stopped():
+            second.go_on()
+            repeat = second.accept()
+            time.sleep(2.0)
+        assert repeat.line() == b""
+        assert consumer.line() == b"ERR\r\n"  # "come again" would say that coming again is harmless
+
+
+def test_a_repeat_that_could_come_too_late_is_not_begun(tmp_path: Path) -> None:
+    with patient(
+        tmp_path, effect="by_key", group="all", windowNs=5 * S
+    ) as running:  # a connect may take 10 s
+        first, _ = ranked(running)
+        consumer, provider = sent(running, first)
+        provider.send(b"ERR\r\n")
+        assert consumer.line() == b"BUSY 1000\r\n"  # by when the consumer's own is in time
+        running.logged("side=consumer reason=rejected .*attempts=1")
+
+
+# ---- the table -------------------------------------------------------------------------------
+
+
+def fin(conn: Conn) -> None:
+    conn.close()
+
+
+def reset(conn: Conn) -> None:
+    conn.close("reset")
+
+
+def cut(conn: Conn) -> None:
+    conn.send(b"UP r")
+    conn.close()
+
+
+def garbage(conn: Conn) -> None:
+    conn.send(b"\xff\x00\r\n")
+
+
+def endless(conn: Conn) -> None:
+    conn.send(b"x" * 6000)
+
+
+def twice(conn: Conn) -> None:
+    conn.send(b"ERR\r\nUP r1\r\n")
+    conn.close()
+
+
+def of_consumer(running: Proxy) -> list[str]:
+    return [
+        line
+        for line in running.seen + running.unread()
+        if re.search("event=ended side=consumer.* open=77 ", line)
+    ]
+
+
+@pytest.mark.parametrize("state", ["held", "connecting", "sent"])
+@pytest.mark.parametrize("leave", [fin, reset])
+def test_a_consumer_leaves(tmp_path: Path, state: str, leave: Callable[[Conn], None]) -> None:
+    with patient(tmp_path) as running:
+        first, _ = ranked(running)
+        running.seen.clear()
+        provider, out = None, []
+        if state == "sent":
+            consumer, provider = sent(running, first)
+        elif state == "held":
+            consumer, out = held(running, first)
+        else:
+            consumer = connecting(running, first)
+        leave(consumer)
+        running.logged("side=consumer reason=withdrawn")
+        if provider is not None:
+            assert provider.ended() in ("fin", "reset")
+        elif state == "connecting":
+            first.go_on()
+        let_go(out)
+        again = running.client(LINE.replace(b"77", b"78") % LONG)
+        attempt = running.asked().accept()
+        assert attempt.line().startswith(b"OPEN 78 ") and again  # and nothing of the first
+        assert len(of_consumer(running)) == 1
+
+
+@pytest.mark.parametrize(
+    "state, rules, answer",
+    [
+        ("held", ONCE, b"BUSY\r\n"),
+        ("connecting", ONCE, b"BUSY\r\n"),
+        ("sent", ONCE, b"ERR\r\n"),
+        ("sent", {"effect": "by_key", "group": "zone", "windowNs": 60 * S}, b"ERR\r\n"),
+        ("sent", {"effect": "by_key", "group": "all", "windowNs": 60 * S}, b"BUSY\r\n"),
+        ("sent", {"effect": "by_key", "group": "all", "windowNs": 1}, b"ERR\r\n"),
+        ("sent", {}, b"BUSY\r\n"),
+    ],
+)
+@pytest.mark.parametrize("end", ["leaves", "stops"])
+def test_what_may_have_run_is_never_called_harmless(
+    tmp_path: Path, state: str, rules: dict[str, Any], answer: bytes, end: str
+) -> None:
+    # At a planned stop, and to a consumer that had ended its sending, all were told to come again.
+    with patient(tmp_path, **rules) as running:
+        first, _ = ranked(running)
+        if state == "sent":
+            consumer, _provider = sent(running, first)
+        elif state == "held":
+            consumer, _out = held(running, first)
+        else:
+            consumer = connecting(running, first)
+        if end == "leaves":
+            consumer.sock.shutdown(1)
+        else:
+            running.leave()
+        assert consumer.line() == answer
+        assert consumer.ended() == "fin"
+        consumer.close()
+        if end == "stops":
+            assert running.process.wait(WAIT) == 0
+
+
+@pytest.mark.parametrize("act", [fin, reset, cut, garbage, endless, twice])
+def test_a_provider_ends_what_may_have_run(tmp_path: Path, act: Callable[[Conn], None]) -> None:
+    with patient(tmp_path, **ONCE) as running:
+        first, _ = ranked(running)
+        running.seen.clear()
+        consumer, provider = sent(running, first)
+        act(provider)
+        assert consumer.line() == b"ERR\r\n"
+        assert consumer.ended() == "fin"
+        consumer.close()
+        running.logged("side=consumer reason=failed .*attempts=1")
+        assert len(of_consumer(running)) == 1
+
+
+@pytest.mark.parametrize("later", [b"ERR\r\n", b"BUSY\r\n", b"UP r2\r\n"])
+def test_a_second_answer_is_nobody_s(tmp_path: Path, later: bytes) -> None:
+    with patient(tmp_path) as running:
+        first, second = ranked(running)
+        consumer, provider = sent(running, first)
+        with running.stopped():
+            provider.send(b"BUSY\r\n")
+            provider.send(later)
+        served = second.serve()
+        assert consumer.line() == b"UP r1\r\n"
+        served.send(b"x\r\n")
+        assert consumer.line() == b"x\r\n"
+
+
+def test_half_a_line_and_the_end_are_passed_on(tmp_path: Path) -> None:
+    with proxy(tmp_path) as running:
+        consumer, provider = running.standing()
+        with running.stopped():
+            provider.send(b"whole\r\nhal")
+            provider.close()
+        assert consumer.line() == b"whole\r\n"
+        assert consumer.line() == b"hal"
+        consumer.close()
+        running.logged("side=consumer reason=provider-left")
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -180,8 +180,13 @@
         running.logged("event=accept-paused")
         for conn in crowd:
             conn.close()
-        while running.listeners[0].accept().line():
-            pass  # the attempts that were out
+        # Attempts that were out may have been sent; nothing is for those that had left before.
+        last = running.client(b"OPEN 77 2 c=feed,t=acme,d=20000\r\n")
+        attempt = running.listeners[0].accept()
+        while not attempt.line().startswith(b"OPEN 77 "):
+            attempt = running.listeners[0].accept()
+        attempt.send(b"UP r1\r\n")
+        assert last.line() == b"UP r1\r\n"
         running.standing()
 
 
