Answer all that was accepted before an end: the queue, who rests, and what crosses it

Found by review; the tests force each order by stopping the program, and fail without it. Acceptor.close closed the listening socket over its queue (64 are accepted in a turn), at a planned stop as at a reload that names another address: all behind were reset. Departure gave who rests (no line yet, or after PONG) nothing, and ended the process over bytes unread, which resets the last answers too. Now the queue is accepted before a listener closes, who rests is told BUSY and the end of sending, so that a request that crosses it finds its answer and is not sent on, and the exit waits within the time kept free before the kill until all who had their last word have ended, and reads what is left.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -336,7 +336,15 @@
         self.front.leaving = True
         if self.vrrp is not None and not replaced:
             self.vrrp.stop()
-        self.departure = Departure(self.loop, self.broker, self.stop_listening, self.held, replaced)
+        self.departure = Departure(
+            self.loop,
+            self.broker,
+            self.stop_listening,
+            self.held,
+            lambda: [each.stream for each in (*self.front.consumers, *self.channels.sessions)],
+            self.front.send_off,
+            replaced,
+        )
         self.departure.start(self.departure.live())
 
     def stop_listening(self) -> None:
--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -271,6 +271,8 @@
                         return
                 case Timeout(tag="opener"):
                     self.reason = Reason.SLOW_OPENER
+                case Timeout(tag="leave") if self.front.leaving:
+                    self.leave()
 
     def identified(self) -> bool:
         try:
--- a/linnetshift/net/module.py
+++ b/linnetshift/net/module.py
@@ -10,6 +10,7 @@
 from linnetshift.net import log
 from linnetshift.net.channels import ChannelsFront
 from linnetshift.net.loop import MS, Actor, Loop, S, Script, Timeout, Timer
+from linnetshift.net.stream import Stream
 
 REVIEW_NS = 125 * MS  # how often silence is looked for
 REVIEWS = 8  # and message times at one in so many
@@ -78,7 +79,8 @@
 # longest deadline (3 s where it is longer) and 0.7 s after the signal.
 ACCEPT_NS = 600 * MS
 MOST_DEADLINE_NS, KILL_NS = 3 * S, 700 * MS
-SPARE_NS = 350 * MS  # kept free before the kill, for the last answers and moves to be written
+SPARE_NS = 350 * MS  # kept free before the kill, for the last answers and moves to be written and read
+LAST_NS = 100 * MS  # of that, for the exit itself
 # Proxies are restarted one after the other: the one before may not be back yet, and consumers moved at
 # once would find nobody. They are moved between these parts of the time, in hundredths.
 MOVE_FROM, MOVE_UNTIL = 40, 92
@@ -115,10 +117,18 @@
     """
 
     def __init__(
-        self, loop: Loop, broker: Broker, close: Callable[[], None], held: Callable[[], int], replaced: bool
+        self,
+        loop: Loop,
+        broker: Broker,
+        close: Callable[[], None],
+        held: Callable[[], int],
+        open_streams: Callable[[], list[Stream]],
+        send_off: Callable[[], None],
+        replaced: bool,
     ) -> None:
         super().__init__(loop)
         self.broker, self.close, self.held, self.replaced = broker, close, held, replaced
+        self.open_streams, self.send_off = open_streams, send_off
         now, time = loop.now(), kill_after(broker.settings) - SPARE_NS
         self.until = now + time + (SIGNAL_NS if replaced else 0)
         self.paced_from = now if replaced else now + time * MOVE_FROM // 100
@@ -154,7 +164,17 @@
             self.broker.dismiss(invocation)
         for invocation in self.broker.standing():
             self.broker.move(invocation.id, "moved")
-        self.alarm(2 * STEP_NS, "flush")
-        yield
+        self.send_off()
+        # Whoever has its last word is read from until it has ended too: a close over bytes unread, the exit's
+        # as well, would reset that word away.
+        until = max(self.until, self.loop.now()) + SPARE_NS - LAST_NS
+        while True:
+            self.alarm(STEP_NS, "step")
+            yield
+            if not self.open_streams() or self.loop.now() >= until:
+                break
         log.note("left", held=self.held())
+        for stream in self.open_streams():
+            stream.drain()
+            stream.close()
         self.loop.stopped = True
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -166,6 +166,10 @@
     reset: bool
 
 
+class Leaving(NamedTuple):
+    """This proxy takes no more requests."""
+
+
 class PlatformConsumer(Reading):
     """One consumer's connection, from its first line to its end."""
 
@@ -302,6 +306,11 @@
                         self.front.strangers.talks(self)
                 case Stop():
                     return Reason.SHED
+                case Leaving():
+                    # A request that crosses this on its way finds its answer; nothing read later is sent on.
+                    self.stream.fill()
+                    self.stream.send(b"BUSY\r\n")
+                    return Reason.SHUT_DOWN
                 case Timeout(tag="opener"):
                     self.stream.send(FAILED)
                     return Reason.SLOW_OPENER
@@ -449,6 +458,7 @@
         self.loop, self.address, self.take = loop, address, take
         self.make_room = make_room or loop.make_room
         self.paused = False
+        self.given = given is not None
         if given is None:
             self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -470,8 +480,8 @@
         if self.listener.fileno() >= 0 and not self.paused:
             self.loop.watch(self.listener.fileno(), select.EPOLLIN, self.accept)
 
-    def accept(self, _mask: int) -> None:
-        for _ in range(ACCEPTS):
+    def accept(self, _mask: int, most: int = ACCEPTS) -> None:
+        for _ in range(most):
             try:
                 sock, peer = self.listener.accept()
             except BlockingIOError:
@@ -489,6 +499,10 @@
             self.take(sock, peer)
 
     def close(self) -> None:
+        if self.listener.fileno() >= 0 and not self.given and not self.paused:
+            self.accept(
+                0, 2 * BACKLOG
+            )  # those in the queue were accepted by this machine: a close resets them
         if self.listener.fileno() >= 0:
             # First: closing does not end epoll's interest in a socket that other processes hold too.
             self.loop.unwatch(self.listener.fileno())
@@ -543,6 +557,11 @@
         consumer = PlatformConsumer(self, sock, peer)
         consumer.start(consumer.live())
 
+    def send_off(self) -> None:
+        """Tell those who rest here that this proxy leaves."""
+        for consumer in self.consumers:
+            consumer.post(Leaving())
+
     def held(self, connections: int) -> dict[str, Held]:
         return {
             "platform.consumers": Held(len(self.consumers), connections),
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -15,7 +15,7 @@
 
 import pytest
 from conftest import MS, S
-from proxy import WAIT, Conn, Listener, Proxy, Terminal, proxy, settings
+from proxy import WAIT, Conn, Listener, Proxy, Terminal, free_port, proxy, settings
 from test_platform import ranked
 
 CHANNELS = '[channels]\nenabled = true\nlisten = "127.0.0.1:PORT"\n'
@@ -307,3 +307,86 @@
         assert consumer.line() == b"hal"
         consumer.close()
         running.logged("side=consumer reason=provider-left")
+
+
+# ---- SIGTERM ---------------------------------------------------------------------------------
+
+
+def test_all_in_the_accept_queue_are_answered_at_a_planned_stop(tmp_path: Path) -> None:
+    # 64 are accepted in a turn; those behind them were reset when the listener closed.
+    with proxy(tmp_path) as running:
+        running.leave()
+        running.logged("event=leaving")
+        with running.stopped():
+            crowd = [running.open(1000) for _ in range(200)]
+            time.sleep(0.7)  # past the time in which new ones still come
+        for consumer in crowd:
+            assert consumer.line()[:4] in (b"BUSY", b"ERR\r")
+            consumer.close()
+        assert running.process.wait(WAIT) == 0
+
+
+def test_all_in_the_queue_of_an_address_that_is_left_are_served(tmp_path: Path) -> None:
+    with patient(tmp_path, providers=1) as running:
+        port = free_port()
+        text = running.config.read_text().replace(f"127.0.0.1:{running.port}", f"127.0.0.1:{port}")
+        running.config.write_text(text)
+        with running.stopped():
+            running.process.send_signal(1)
+            crowd = [running.client(LINE.replace(b"77", b"%x" % n) % LONG) for n in range(100, 300)]
+        provider = running.listeners[0]
+        kept = [provider.serve() for _ in crowd]
+        for consumer in crowd:
+            assert consumer.line() == b"UP r1\r\n"
+        assert len(kept) == len(crowd)
+
+
+@pytest.mark.parametrize("said", [b"", b"OPEN 1 2 c=fe", b"PING\r\n"])
+def test_who_rests_is_told_and_what_crosses_that_is_not_sent_on(tmp_path: Path, said: bytes) -> None:
+    # It was reset by the exit, and a line that came in that moment was lost.
+    with proxy(tmp_path) as running:
+        resting = running.client(said)
+        if said.endswith(b"\n"):
+            assert resting.line() == b"PONG\r\n"
+        else:
+            assert running.alive()
+        running.leave()
+        assert resting.line() == b"BUSY\r\n"
+        assert resting.ended() == "fin"
+        resting.send(LINE % 2000)  # it had not seen the end when it asked
+        resting.close()
+        assert running.process.wait(WAIT) == 0
+        running.logged("event=left")
+        assert not [line for line in running.seen if "event=opened" in line]
+
+
+@pytest.mark.parametrize("front", ["platform", "channels"])
+def test_a_late_request_on_a_resting_connection_is_answered_until_the_end(tmp_path: Path, front: str) -> None:
+    with proxy(tmp_path, own=CHANNELS) as running:
+        standing = running.standing()  # keeps the program until its turn to be moved
+        resting = running.client()
+        assert running.alive()
+        running.leave()
+        running.logged("event=leaving")
+        resting.send(LINE % 2000)
+        kept = running.listeners[0].serve()
+        assert resting.line() == b"UP r1\r\n" and kept
+        for consumer in (standing[0], resting):
+            assert consumer.line() == b"MOVE\r\n"
+            consumer.close()
+        assert running.process.wait(WAIT) == 0 and front
+
+
+def test_a_word_of_farewell_outlives_what_was_never_read(tmp_path: Path) -> None:
+    with proxy(tmp_path) as running:
+        consumer, provider = running.standing()
+        running.leave()
+        running.logged("event=leaving")
+        with running.stopped():
+            consumer.send(b"half a line")
+            provider.send(b"so is this")
+            time.sleep(3.5)  # at once the time to be moved and that to be gone are over
+        assert consumer.line() == b"MOVE\r\n"
+        assert consumer.ended() == "fin"
+        consumer.close()
+        assert running.process.wait(WAIT) == 0
