--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -243,18 +243,12 @@
         """Connections that are owed something: who says nothing must not keep a proxy that leaves."""
         return len(self.front.consumers) + len(self.channels.sessions) - self.strangers.idle()
 
-    def catch_signals(self) -> None:
-        """Python's own handler runs between two instructions; the byte it leaves wakes the poll."""
-        # A pipe and no pair of sockets: where the platform leads all sockets, only those of IP work.
-        reader, writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
-        signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)
-        self.signals = reader, writer
+    def heed_signals(self, reader: int) -> None:
+        self.signals = reader
         self.loop.watch(reader, select.EPOLLIN, self.signalled)
 
     def signalled(self, _mask: int) -> None:
-        caught = set(os.read(self.signals[0], 64))
+        caught = set(os.read(self.signals, 64))
         if signal.SIGHUP in caught:
             self.reload()
         if caught != {signal.SIGHUP} and not self.departing:
@@ -360,8 +354,22 @@
     return config, own
 
 
+def catch_signals() -> int:
+    """The pipe that tells of them. From the first moment: one that nobody catches ends the program.
+
+    Python's own handler runs between two instructions; the byte it leaves wakes the poll.
+    """
+    # A pipe and no pair of sockets: where the platform leads all sockets, only those of IP work.
+    reader, writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+    signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: None)
+    return reader
+
+
 def main() -> int:
     log.set_up()
+    signals = catch_signals()
     try:
         config, own = read_files()
         given = inherited_listener()
@@ -373,7 +381,7 @@
     except OSError as error:
         print(f"linnetshift: cannot listen: {error.strerror}", file=sys.stderr)
         return 2
-    program.catch_signals()
+    program.heed_signals(signals)
     log.note(
         "started",
         name=config.name,
