Tell what happened on a descriptor only to whom it happened

Found by review: Loop.turn looked handlers up by number one after the other; under want of descriptors (Acceptor.accept makes room, closes a stranger and accepts) a number is given anew within the turn, and the new stream took the old one's event for its own: one that dials counted as up. Handlers are looked up before the first is called.

--- a/linnetshift/net/loop.py
+++ b/linnetshift/net/loop.py
@@ -233,9 +233,9 @@
         happened = self.epoll.poll(wait)
         after = self.now()
         self.since = after if after - before > MS else before
-        for fd, mask in happened:
-            handler = self.handlers.get(fd)
-            if handler is not None:  # a handler before it may have closed this one
+        # One before it may have closed this one, whose number a new one may have: it did not happen to that.
+        for fd, mask, handler in [(fd, mask, self.handlers.get(fd)) for fd, mask in happened]:
+            if handler is not None and self.handlers.get(fd) is handler:
                 handler(mask)
         # Only now: after a stall of this process, what arrived in time must not count as late.
         self._fire_due()
