Take only a whole UP line with a receipt for an answer; shed no stranger over unread bytes

Found by review: ProviderLink.judge took a bare UP, one with bytes that no text holds and one with blanks before it for a receipt, and a consumer was served with what no server made. PlatformConsumer.shed closed over bytes unread, which resets its ERR away.

--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -184,6 +184,7 @@
         self.error, self.wait_ms = "", 0
 
     def shed(self) -> None:
+        self.stream.drain()  # a close over bytes unread would reset the answer away
         self.stream.send(b"" if self.stream.ending else FAILED)
         self.stream.close()
         self.post(Stop())
--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -224,8 +224,8 @@
             return Outcome.ERROR
         if line is None:
             return NOT_YET
-        word, _, _ = bytes(line[:64]).strip().partition(b" ")
-        if word == b"UP":
+        word, _, receipt = bytes(line).rstrip(b"\r\n").partition(b" ")
+        if word == b"UP" and receipt and receipt.isascii() and receipt.decode().isprintable():
             self.broker.up(self.attempt, line)
             return None
         self.reason, outcome = ANSWERS.get(word, (Reason.ERROR, Outcome.ERROR))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -77,6 +77,10 @@
         (b"", "reset", "provider-reset"),
         (b"", "", "timed-out"),
         (b"nonsense\r\n", "fin", "error"),
+        (b"UP\r\n", "", "error"),
+        (b"UP \r\n", "", "error"),
+        (b"UP r\xff\r\n", "", "error"),
+        (b"UP r\x00\r\n", "", "error"),
         (b"", "refused", "unreachable"),
     ],
 )
