Keep a name's place over a reload, wherever the later lists have it

Found by review: Program.reload refused all of a new configuration in which tenants, zones or models stood in another order or were dropped (Names.lost), its directory's address too, so that what that told was missed. And a tenant or zone that the settings did not know had the place past the list's end (len(names.tenants)), which the next one added got: what the unknown one held was counted for the new one's contract. Now places are a name's for good, new names are appended, unknown ones have a place of their own, and our zone is found by name.

--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -269,8 +269,6 @@
             config, own = read_files(self.config, self.classes_in_use())
             if own.vrrp != self.own.vrrp:
                 raise ConfigError("a change of [vrrp] needs a restart")
-            if (name := self.names.lost(config.names)) is not None:
-                raise ConfigError(f"{name!r} has lost its place in the settings; that needs a restart")
             if config.admin is not None and config.admin != self.door.address:
                 door = self.door.open(config.admin)
             wanted = [(self.front, config.listen), (self.channels, own.channels)]
--- a/linnetshift/net/channels.py
+++ b/linnetshift/net/channels.py
@@ -22,7 +22,7 @@
 from linnetshift.net.limits import DRAIN_NS, MOST_WAIT_MS, OPENER_NS, Reading, Strangers
 from linnetshift.net.log import MOST_TOLD, Reason
 from linnetshift.net.loop import MS, Io, Loop, S, Script, Timeout, Timer
-from linnetshift.net.platform import ANSWER_NS, Front, Names
+from linnetshift.net.platform import ANSWER_NS, UNKNOWN, Front, Names
 from linnetshift.net.provider import Endpoint, Steps, Stop, linger
 from linnetshift.net.ssh import Disconnect, Fields, Malformed, Message, OpenFailure, message, string
 from linnetshift.net.stream import End, LineTooLong, Stream
@@ -477,7 +477,7 @@
         channel.invocation = Invocation(
             channel,
             place,
-            names.get(tenant, len(names)),
+            names.get(tenant, UNKNOWN),
             key,
             group,
             (api.RETRY if flags & RETRY_FLAG else 0) | (api.RETURNED if flags & RETURNED_FLAG else 0),
--- a/linnetshift/net/config.py
+++ b/linnetshift/net/config.py
@@ -8,6 +8,7 @@
 import socket
 import tomllib
 from collections.abc import Collection
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -78,7 +79,10 @@
         settings = api.Settings.parse(raw["settings"])
         if former is not None:
             settings = settings.following(former.settings, in_use)
-        names = Names(raw["settings"], settings)
+        names = Names(raw["settings"], settings, former.names if former is not None else None)
+        zones = names.told(raw["settings"].get("zones"))
+        if 0 <= settings.zone < len(zones):
+            settings = replace(settings, zone=names.zones[zones[settings.zone]])
         return Config(
             name=str(raw.get("name", "")),
             listen=listen,
--- a/linnetshift/net/directory.py
+++ b/linnetshift/net/directory.py
@@ -16,7 +16,7 @@
 from linnetshift.net import log
 from linnetshift.net.log import MOST_TOLD
 from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
-from linnetshift.net.platform import Names
+from linnetshift.net.platform import UNKNOWN, Names
 from linnetshift.net.provider import Dialing, Endpoint, Steps, parse_endpoint
 from linnetshift.net.stream import End
 
@@ -89,8 +89,8 @@
     weight = float(target.get("capacity_hint", 1.0))
     entry = api.HostEntry(
         host=str(target["uid"]).encode(),
-        zone=names.zones.get(str(target.get("az")), len(names.zones)),
-        kind=names.kinds.get(str(target.get("model")), len(names.kinds)),
+        zone=names.zones.get(str(target.get("az")), UNKNOWN),
+        kind=names.kinds.get(str(target.get("model")), UNKNOWN),
         cell=int(target.get("pod_group") or 0),
         state=STATES[target["state"]],
         weight=weight if math.isfinite(weight) else 1.0,
--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -23,6 +23,8 @@
 ANSWER_NS = 4 * MS  # answers leave this much before the consumer gives up
 BACKLOG = 1024
 ACCEPTS = 64  # at one turn of the loop
+UNKNOWN = -1  # the place of a name that the settings do not know
+MOST_NAMES = 4096  # of tenants, zones or kinds, with those that reloads have dropped
 PAUSE_NS = 50 * MS  # without descriptors, how long nothing is accepted
 
 
@@ -31,28 +33,22 @@
 
 
 class Names:
-    """Numbers of classes; places of tenants, zones and kinds in the settings' lists.
+    """Numbers of classes; places of tenants, zones and kinds, which no later settings give to another name.
 
-    A name that the settings do not know gets the place past the end, except for a class.
+    What is under way refers to them: a place is a name's for good, wherever later lists have the name.
     """
 
-    def __init__(self, settings: dict[str, object], known: api.Settings) -> None:
+    def __init__(self, settings: dict[str, object], known: api.Settings, former: Names | None = None) -> None:
         self.classes = {known.classes[number].name: number for number in known.numbers}
-        self.tenants = self._places(settings.get("tenants"))
-        self.zones = self._places(settings.get("zones"))
-        self.kinds = self._places(settings.get("models"))
+        before: tuple[dict[str, int], ...] = former.lists() if former is not None else ({}, {}, {})
+        self.tenants, self.zones, self.kinds = (
+            self._places(settings.get(key), places)
+            for key, places in zip(("tenants", "zones", "models"), before, strict=True)
+        )
 
     def lists(self) -> tuple[dict[str, int], ...]:
         return self.tenants, self.zones, self.kinds
 
-    def lost(self, later: Names) -> str | None:
-        """A name that has another place or none in later settings, which what is under way refers to."""
-        for known, listed in zip(self.lists(), later.lists(), strict=True):
-            for name, place in known.items():
-                if listed.get(name) != place:
-                    return name
-        return None
-
     def follow(self, later: Names) -> dict[str, int]:
         """The classes that are offered no more, which are still known: clients learn of it later."""
         for known, listed in zip(self.lists(), later.lists(), strict=True):
@@ -67,9 +63,18 @@
                 del self.classes[name]
 
     @staticmethod
-    def _places(listed: object) -> dict[str, int]:
+    def told(listed: object) -> list[str]:
         items = listed if isinstance(listed, list) else []
-        return {str(i.get("name") if isinstance(i, dict) else i): place for place, i in enumerate(items)}
+        return [str(item.get("name") if isinstance(item, dict) else item) for item in items]
+
+    @classmethod
+    def _places(cls, listed: object, before: dict[str, int]) -> dict[str, int]:
+        places = dict(before)
+        for name in cls.told(listed):
+            places.setdefault(name, len(places))
+        if len(places) > MOST_NAMES:
+            raise ValueError("more names of one kind since the start than can be kept; that needs a restart")
+        return places
 
 
 class Opening(NamedTuple):
@@ -120,7 +125,7 @@
     return Opening(
         id=_hex(words[1]),
         klass=klass,
-        tenant=names.tenants.get(tenant, len(names.tenants)),
+        tenant=names.tenants.get(tenant, UNKNOWN),
         key=_hex(words[2]),
         group=_hex(values.get(b"g", b"0")),
         flags=flags,
