--- a/linnetshift/net/provider.py
+++ b/linnetshift/net/provider.py
@@ -16,6 +16,7 @@
 from linnetshift.core.invocation import Attempt
 from linnetshift.interface import HostState, ListForm, Outcome
 from linnetshift.net import log
+from linnetshift.net.limits import STALL_NS
 from linnetshift.net.log import Reason
 from linnetshift.net.loop import MS, Actor, Io, Loop, S, Script, Timeout
 from linnetshift.net.stream import End, LineTooLong, Stream
@@ -320,9 +321,11 @@
 def linger(actor: Actor, stream: Stream, until: int = 0) -> Steps:
     """Read on until the peer ends too: closing with bytes unread would reset what is still on its way.
 
-    A peer that is quiet is waited for LINGER_NS; one that sends on, until the time given.
+    A peer that is quiet is waited for LINGER_NS, from when it has taken all that was sent; one that sends on,
+    until the time given; one that takes nothing, as long as any that has stopped reading.
     """
     timer, heard = actor.alarm(LINGER_NS, "linger"), False
+    taken_by = actor.loop.now() + STALL_NS
     stream.want(True)
     while not stream.broken:
         match (yield):
@@ -334,6 +337,8 @@
                     heard = heard or got > 0
                     if got < 0:
                         break
+            case Timeout(tag="linger") if stream.congested and actor.loop.now() < taken_by:
+                timer = actor.alarm(LINGER_NS, "linger")  # a close now would drop it
             case Timeout(tag="linger"):
                 if not heard or actor.loop.now() >= until:
                     break
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -9,7 +9,7 @@
 import re
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -309,6 +309,27 @@
         running.logged("side=consumer reason=provider-left")
 
 
+def test_a_slow_reader_gets_the_word_to_move_and_all_before_it(tmp_path: Path) -> None:
+    # Half a second after that word it was closed, whatever it had not taken yet, that word too.
+    with proxy(tmp_path, 2) as running:
+        first, _ = ranked(running)
+        consumer = running.open()
+        provider = first.serve()
+        assert consumer.line() == b"UP r1\r\n"
+        provider.sock.settimeout(0.5)
+        with suppress(TimeoutError):
+            while True:  # until all on the way is full
+                provider.send(b"y" * 3998 + b"\r\n")
+        provider.sock.settimeout(WAIT)
+        running.directory.change(**{first.uid: "DRAINING"})
+        with suppress(ConnectionError):
+            assert provider.sock.recv(1) == b""  # the consumer was told to move
+        time.sleep(1.2)
+        lines = list(iter(consumer.line, b""))
+        assert lines.pop() == b"MOVE\r\n"
+        assert set(lines) == {b"y" * 3998 + b"\r\n"}
+
+
 # ---- SIGTERM ---------------------------------------------------------------------------------
 
 
