--- a/linnetshift/net/directory.py
+++ b/linnetshift/net/directory.py
@@ -21,6 +21,7 @@
 from linnetshift.net.stream import End
 
 SOON_NS = 50 * MS  # before an agent on this machine is asked again that refused or failed a call
+MOST_PATIENCE = 2  # how often the patience with a silent directory is doubled
 SPREAD = 0.75  # waits are drawn from this share up: proxies whose watches ended together call one by one
 DOUBT_NS = 30 * S  # how long an answer that contradicts what is known must hold to be believed
 AGAIN_NS = 2 * S  # after an answer with unreadable entries
@@ -227,6 +228,7 @@
         self.random = random.Random(seed)
         self.version, self.some = known.event.version, bool(known.event.entries)
         self.whole = False  # owed from an address that has not answered yet
+        self.silences = 0  # calls in a row that brought nothing in time
         self.doubted_at = 0
         self.asking_again = False
         self.watching: Call | None = None
@@ -277,17 +279,19 @@
 
     def watch_on(self) -> None:
         """The next call follows the last answer at once: after 200 ms it would be a new watch."""
+        # A shared directory that is slow under too many callers is not cured by calls that are cut short.
+        patience = 0 if self.pace.pushed else min(self.silences, MOST_PATIENCE)
         if self.whole:
-            self.watching = self.call(PATH, self.pace.call_ns)
+            self.watching = self.call(PATH, self.pace.call_ns << patience)
             return
         wait_ms = int(self.pace.wait_ms * self.random.uniform(SPREAD, 1.0))
         path = f"{PATH}?since={self.version}&timeout_ms={wait_ms}"
-        self.watching = self.call(path, wait_ms * MS + self.pace.patience_ns)
+        self.watching = self.call(path, wait_ms * MS + (self.pace.patience_ns << patience))
 
     def answered(self, call: Call, document: Any, silent: bool) -> None:
         kept, former = call is self.watching, call is self.former
         if kept:
-            self.watching = None
+            self.watching, self.silences = None, self.silences + 1 if silent else 0
         elif former:
             self.former = None
         elif call.path != PATH or call.endpoint != self.endpoint:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -62,6 +62,23 @@
         assert "since=" in silent_call(running).path
 
 
+@pytest.mark.parametrize("pushed, doubled", [(False, 2), (True, 0)])
+def test_a_shared_directory_that_stays_silent_is_waited_for_longer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, pushed: bool, doubled: int
+) -> None:
+    # Cut short at the same time again and again, no call to a crowded directory might ever be answered.
+    monkeypatch.setattr(Pace, "of", classmethod(lambda cls, _: cls(pushed, 40, 10 * MS, 20 * MS)))
+    with inside(tmp_path, **NEVER) as running:
+        running.directory.silent = True
+        running.directory.change()
+        for _ in range(6):
+            last = silent_call(running)
+        while (call := running.program.directory.watching) is None:
+            pass  # between one and the next
+        assert "since=" in last.path
+        assert call.limit_ns - int(call.path.rpartition("=")[2]) * MS == 10 * MS << doubled
+
+
 def test_an_agent_is_asked_again_after_each_way_in_which_it_fails(tmp_path: Path) -> None:
     with proxy(tmp_path, providers=2, **PUSHED, **{"rules": NEVER["rules"]}) as running:
         first, second = ranked(running)
