--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -173,6 +173,21 @@
         assert kept
 
 
+def test_who_is_shed_over_bytes_unread_gets_its_answer_and_a_plain_end(tmp_path: Path) -> None:
+    # The close over them reset the answer away.
+    with proxy(tmp_path, before=few) as running:
+        quiet = [running.client() for _ in range(8)]
+        assert running.alive()
+        with running.stopped():
+            for conn in quiet:
+                conn.send(b"OPEN 1 2 c=fe")
+            crowd = [running.client() for _ in range(30)]
+        for conn in quiet:
+            assert conn.line() == b"ERR\r\n"
+            assert conn.ended() == "fin"
+        assert len(crowd) == 30
+
+
 def test_without_descriptors_it_waits_and_lives(tmp_path: Path) -> None:
     # Accepting again at once would spin; dying would lose every connection that stands.
     with proxy(tmp_path, before=few) as running:
