--- a/linnetshift/net/platform.py
+++ b/linnetshift/net/platform.py
@@ -370,9 +370,8 @@
                     if end is not None and not invocation.answered:
                         harmless = self.broker.harmless(invocation)
                         self.broker.consumer_ended(invocation, end is End.RESET)
-                        self.stream.send(
-                            b"BUSY\r\n" if harmless else FAILED
-                        )  # perhaps it ended only its sending
+                        # Perhaps it ended only its sending, and still reads.
+                        self.stream.send(b"BUSY\r\n" if harmless else FAILED)
                         return Reason.WITHDRAWN
                     if self.stream.stop > self.stream.start and not invocation.answered:
                         # Unread, it would hide that the consumer ended; a provider could not use it.
@@ -506,9 +505,8 @@
 
     def close(self) -> None:
         if self.listener.fileno() >= 0 and not self.given and not self.paused:
-            self.accept(
-                0, 2 * BACKLOG
-            )  # those in the queue were accepted by this machine: a close resets them
+            # Those in the queue were accepted by this machine, and a close would reset them.
+            self.accept(0, 2 * BACKLOG)
         if self.listener.fileno() >= 0:
             # First: closing does not end epoll's interest in a socket that other processes hold too.
             self.loop.unwatch(self.listener.fileno())
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -29,9 +29,7 @@
 from linnetshift.net.config import read_broker_file, read_config
 
 ROOT = Path(__file__).parent.parent
-WAIT = float(
-    os.environ.get("TEST_WAIT", "20")
-)  # no wait is longer; all of them end with the event waited for
+WAIT = 20.0  # no wait is longer; all of them end with the event waited for
 OPEN = b"OPEN %016x 7f3a9c21e0b4d655 c=feed,t=acme,d=%d\r\n"
 RESET = struct.pack("ii", 1, 0)  # a close with this lingering resets
 IDS = count(0x9B1F03AA5C7E2D41)  # new with every connection
