Ask the agent of pushed lists a third less often

Measured: four calls a second cost 5 ms of processor time beside 2.5 ms at rest with a grace of 0.7 s (7.5 ms a second in all); a proxy with a twentieth of a core loses a tenth of it. An agent has one caller, so its waits need not be spread, and half the grace with a quarter of patience still leaves a quarter for the next answer: 2.8 calls, 6.25 ms in all.

--- a/linnetshift/net/directory.py
+++ b/linnetshift/net/directory.py
@@ -48,7 +48,7 @@
         if settings.must_ask:
             return cls(False, 10_000, 750 * MS, 2200 * MS)
         grace = max(100 * MS, min(settings.drain_grace_ns, 4 * S))
-        return cls(True, grace * 2 // 5 // MS, grace // 4, grace // 2)
+        return cls(True, grace // 2 // MS, grace // 4, grace // 2)
 
 
 class Roster(NamedTuple):
@@ -284,7 +284,8 @@
         if self.whole:
             self.watching = self.call(PATH, self.pace.call_ns << patience)
             return
-        wait_ms = int(self.pace.wait_ms * self.random.uniform(SPREAD, 1.0))
+        spread = 1.0 if self.pace.pushed else self.random.uniform(SPREAD, 1.0)  # an agent is ours alone
+        wait_ms = int(self.pace.wait_ms * spread)
         path = f"{PATH}?since={self.version}&timeout_ms={wait_ms}"
         self.watching = self.call(path, wait_ms * MS + (self.pace.patience_ns << patience))
 
