--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -54,6 +54,18 @@
     return consumer, out
 
 
+def in_state(
+    running: Proxy, first: Listener, state: str
+) -> tuple[Conn, Conn | None, list[tuple[Conn, Conn]]]:
+    """A request that is held, dialled or sent: the consumer, the provider's end, and what keeps it held."""
+    if state == "sent":
+        return *sent(running, first), []
+    if state == "held":
+        consumer, out = held(running, first)
+        return consumer, None, out
+    return connecting(running, first), None, []
+
+
 def let_go(out: list[tuple[Conn, Conn]]) -> None:
     for _, provider in out:
         provider.send(b"UP r1\r\n")
@@ -213,13 +225,7 @@
     with patient(tmp_path) as running:
         first, _ = ranked(running)
         running.seen.clear()
-        provider, out = None, []
-        if state == "sent":
-            consumer, provider = sent(running, first)
-        elif state == "held":
-            consumer, out = held(running, first)
-        else:
-            consumer = connecting(running, first)
+        consumer, provider, out = in_state(running, first, state)
         leave(consumer)
         running.logged("side=consumer reason=withdrawn")
         if provider is not None:
@@ -252,12 +258,7 @@
     # At a planned stop, and to a consumer that had ended its sending, all were told to come again.
     with patient(tmp_path, **rules) as running:
         first, _ = ranked(running)
-        if state == "sent":
-            consumer, _provider = sent(running, first)
-        elif state == "held":
-            consumer, _out = held(running, first)
-        else:
-            consumer = connecting(running, first)
+        consumer, _provider, _out = in_state(running, first, state)
         if end == "leaves":
             consumer.sock.shutdown(1)
         else:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -10,7 +10,7 @@
 import pytest
 from conftest import MS, S, raw_settings
 from proxy import WAIT, Directory, free_port, proxy, settings, world
-from test_owed import LINE, LONG, connecting, held, let_go, sent
+from test_owed import LINE, LONG, in_state, let_go
 from test_platform import ranked
 
 from linnetshift import interface as api
@@ -219,20 +219,14 @@
 
     with proxy(tmp_path, 2, services=with_effect(before), allowed=allowed) as running:
         first, second = ranked(running)
-        out: list[Any] = []
-        if state == "sent":
-            consumer, provider = sent(running, first)
-        elif state == "held":
-            consumer, out = held(running, first)
-        else:
-            consumer = connecting(running, first)
+        consumer, provider, out = in_state(running, first, state)
         others = [{**base, "name": "extra", "effect": after}]  # and in another order
         running.reload(
             "event=reloaded", settings=settings(services=others + with_effect(after), allowed=allowed)
         )
         if state == "connecting":
             first.go_on()
-        if state != "sent":
+        if provider is None:
             let_go(out)
             provider = first.accept()
             assert provider.line().startswith(b"OPEN 77 ")
