Discovery: calls outlast a crowd's queue, retries spread by the number of balancers

Cause: a call that is given up or refused takes its turn at discovery all the same. Each proxy gave a call up after wait + 0.75 s, before its turn could come, as the refusal that followed each time-out reset the doubled limit; and it retried within a second, whatever the number of proxies. So discovery worked on dead calls only, for as long as the crowd lasted. Class: the retries and time-outs of many keep up the overload that they react to. Change: any failed call makes the next more patient, until an answer; the longest back-off is 0.15 s times the number of balancers where that is over a second, at most 8 s. Why it works: an accepted call is waited for until its turn, and the fleet's retries stay under some seven a second.

--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -36,7 +36,7 @@
 WAIT_AFTER_FAILURE_MS = 1000
 # The most that a call for the full list may take, however often the limit was doubled.
 MAX_FULL_LIST_CALL_NS = 4 * S
-# The most often that the time limits for a silent discovery are doubled.
+# The most often that the time limits of calls are doubled while none is answered.
 MAX_TIMEOUT_DOUBLINGS = 2
 # Waits are drawn between this share and the whole, so that proxies whose watches ended together do not all
 # call together again.
@@ -123,7 +123,7 @@
         self.random = random.Random(seed)
         self.stale_lists = StaleListFilter(known.event)
         self.needs_full_list = False  # the address is new and has not answered yet
-        self.consecutive_timeouts = 0  # of the watch
+        self.consecutive_failures = 0  # calls of the watch that were refused, broken off or not answered
         self.last_watch_failed = False  # or brought nothing in time, or a list that was not used
         self.is_refetch_scheduled = False
         self.watch_call: DiscoveryCall | None = None
@@ -202,8 +202,9 @@
 
         The call follows the last answer at once: 200 ms later, discovery would take it as a new watch.
         """
-        # A shared discovery that is slow under too many callers is not cured by calls that are cut short.
-        doublings = 0 if self.timeouts.is_pushed else min(self.consecutive_timeouts, MAX_TIMEOUT_DOUBLINGS)
+        # A shared discovery takes calls in turn, and one that was given up takes its turn all the same. So
+        # calls that are cut short keep it crowded, and all that it accepts may be given up before their turn.
+        doublings = 0 if self.timeouts.is_pushed else min(self.consecutive_failures, MAX_TIMEOUT_DOUBLINGS)
         if self.needs_full_list:
             limit_ns = min(self.timeouts.full_list_ns << doublings, MAX_FULL_LIST_CALL_NS)
             self.watch_call = self._call(LIST_PATH, limit_ns)
@@ -228,7 +229,6 @@
         is_watch = call is self.watch_call
         if is_watch:
             self.watch_call = None
-            self.consecutive_timeouts = self.consecutive_timeouts + 1 if has_timed_out else 0
         elif call is self.previous_watch_call:
             self.previous_watch_call = None
         elif call.path != LIST_PATH or call.address != self.address:
@@ -262,11 +262,13 @@
         self.needs_full_list = False
         self.previous_watch_call = None  # the former address has nothing newer
         self.last_watch_failed = False
+        self.consecutive_failures = 0
         self._open_watch()
 
     def _handle_watch_failed(self, has_timed_out: bool) -> None:
         """Reopen the watch, or leave it to the decisions when to."""
         self.last_watch_failed = True
+        self.consecutive_failures += 1
         if has_timed_out:
             self._open_watch()  # without a back-off: the time-out was one
         elif self.timeouts.is_pushed:
--- a/linnetshift/routing/discovery_poller.py
+++ b/linnetshift/routing/discovery_poller.py
@@ -4,9 +4,17 @@
 
 from linnetshift.routing.actions import SetTimer, Watch
 from linnetshift.routing.context import RoutingContext
+from linnetshift.routing.settings import Settings
 
 # Well under the 6 s after which, once discovery can be reached again, its list counts as known here.
 MAX_BACKOFF_NS = 1_000_000_000
+# The retries of a large fleet alone would keep discovery from serving any call. So each balancer's back-off
+# grows to this long for every balancer that there is, at most to MAX_FLEET_BACKOFF_NS.
+BACKOFF_PER_BALANCER_NS = 150_000_000
+MAX_FLEET_BACKOFF_NS = 8_000_000_000
+# The settings allow four polling intervals without a call after one that failed.
+MAX_BACKOFF_INTERVALS = 2
+FIRST_BACKOFF_SHARE = 10  # the back-off starts from that part of the longest, and doubles with each failure
 MAX_FAILURES = 5  # in a row; further ones do not lengthen the back-off
 TOKEN_MASK = 0xFFFF  # tokens of the back-off timer have 16 bits; the tick's is above them
 
@@ -38,8 +46,8 @@
         """Poll again after a back-off, with jitter so that balancers that failed together poll apart."""
         context = self._context
         self._failures = min(self._failures + 1, MAX_FAILURES)
-        longest_ns = min(context.settings.must_poll_within_ns // 4, MAX_BACKOFF_NS)
-        backoff_ns = (longest_ns // 10) << self._failures  # doubles with each failure
+        longest_ns = longest_backoff_ns(context.settings)
+        backoff_ns = (longest_ns // FIRST_BACKOFF_SHARE) << self._failures
         delay_ns = min(backoff_ns, longest_ns) * context.random.uniform(0.5, 1.0)
         self._timer_token = (self._timer_token + 1) & TOKEN_MASK
         context.emit(SetTimer(int(delay_ns), self._timer_token))
@@ -48,3 +56,10 @@
         """Poll if the timer is that of the latest back-off."""
         if token == self._timer_token:
             self._context.emit(Watch(True))
+
+
+def longest_backoff_ns(settings: Settings) -> int:
+    """How long the back-off of one balancer grows, before jitter."""
+    interval_ns = settings.must_poll_within_ns
+    fleet_ns = min(settings.balancers * BACKOFF_PER_BALANCER_NS, MAX_FLEET_BACKOFF_NS)
+    return max(min(interval_ns // 4, MAX_BACKOFF_NS), min(fleet_ns, MAX_BACKOFF_INTERVALS * interval_ns))
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -164,6 +164,26 @@
         assert call.limit_ns - int(call.path.rpartition("=")[2]) * MS == 10 * MS << doublings
 
 
+def test_refused_call_leaves_the_next_one_as_patient_as_time_outs_made_it(tmp_path: Path) -> None:
+    # Each time-out was followed by a 503, which reset the limit: no call lived until its turn came.
+    with proxy_in_thread(tmp_path, rules={"mustAskInNs": S // 2}) as running:
+        discovery = running.program.discovery
+        running.discovery.holds_calls = True
+        running.discovery.change()
+        unanswered_call(running)
+        for has_timed_out in (True, False, True, False):
+            call = discovery.watch_call
+            assert call is not None
+            discovery.post(CallEnded(call, None, has_timed_out))
+            while "since=" not in (next_call := unanswered_call(running)).path:
+                pass
+        while (call := discovery.watch_call) is None:
+            pass  # between two calls
+        assert call.path == next_call.path
+        margin_ns = discovery.timeouts.margin_ns << MAX_TIMEOUT_DOUBLINGS
+        assert call.limit_ns == int(call.path.rpartition("=")[2]) * MS + margin_ns
+
+
 def test_pushed_list_watch_recovers_after_timeouts_and_error_responses(tmp_path: Path) -> None:
     with started_proxy(tmp_path, endpoints=2, **PUSHED_LISTS, **LONG_BACKOFF) as running:
         best, other = ranked(running)
