Broker: an endpoint seen to end is not used again before discovery confirms it

What callers saw: a request on an endpoint that had ended and returned under its name, by a proxy whose list was older than 6 s; by then its removal counted as known. Class: what is learned beside the list is not held against a list that may be outdated. Change: a lease on the list, renewed by answers, extended by an open watch (6 s, or 2 s past a watch's wait, 4 s after a reload); once it has expired, endpoints that refused a connection or sent a client away are suspended until discovery tells of them or confirms the list. Log: endpoint-list-unconfirmed, endpoint-suspended and their ends. Why it works: such an endpoint's notice is younger than the grace when the lease ends.

--- a/linnetshift/broker/attempts.py
+++ b/linnetshift/broker/attempts.py
@@ -99,7 +99,7 @@
         drains = self.endpoints.administrative_drains
         if drains.is_drained(attempt.endpoint):
             return False
-        if not request.adopted_endpoint and not drains.is_listed_ready(attempt.endpoint):
+        if not request.adopted_endpoint and not self._is_usable(attempt.endpoint):
             return False
         now_ns = self.clock()
         if now_ns >= attempt.deadline:
@@ -109,6 +109,11 @@
         request_class = self.table.settings.classes[request.klass]
         return request_class.may_retry(request.possibly_executed_at, now_ns)
 
+    def _is_usable(self, endpoint: bytes) -> bool:
+        """Whether it is listed as ready, and was not seen to end since discovery confirmed that."""
+        is_listed_ready = self.endpoints.administrative_drains.is_listed_ready(endpoint)
+        return is_listed_ready and not self.endpoints.unconfirmed.is_suspended(endpoint)
+
     # ---- adoption ---------------------------------------------------------------------------
 
     def begin_adoption(self, request: ActiveRequest) -> None:
@@ -163,6 +168,8 @@
         if request.attempt is not attempt:
             return
         request.detach_connection()
+        if outcome == Outcome.CANCELLED:
+            self.endpoints.record_unavailable(attempt.endpoint)
         if outcome not in NEVER_RAN and not request.possibly_executed_at:
             request.possibly_executed_at = attempt.began
         if attempt.is_established:
--- a/linnetshift/broker/broker.py
+++ b/linnetshift/broker/broker.py
@@ -19,6 +19,7 @@
 from linnetshift.broker.latency_estimator import ConnectionLoad
 from linnetshift.broker.ports import Connector, Discovery, Timers
 from linnetshift.broker.request_table import RequestTable
+from linnetshift.discovery.list_lease import ListLease
 from linnetshift.observability.resource_usage import ResourceUsage
 from linnetshift.routing.actions import (
     Action,
@@ -60,8 +61,12 @@
         discovery: Discovery,
         connector: Connector,
         contracts: Contracts,
+        list_lease: ListLease | None = None,
     ) -> None:
-        """`clock` gives ns of the system's monotonic clock; `seed` is the balancer's random source's."""
+        """`clock` gives ns of the system's monotonic clock; `seed` is the balancer's random source's.
+
+        `list_lease` is renewed by whoever gets the endpoint list.
+        """
         self.settings = settings
         self.balancer = Balancer(settings, seed)
         self.clock = clock
@@ -69,7 +74,7 @@
         self.discovery = discovery
         self.connector = connector
         self.inbox = EventInbox(timers)
-        self.endpoint_views = EndpointViews(settings, clock, self.inbox)
+        self.endpoint_views = EndpointViews(settings, clock, self.inbox, list_lease or ListLease(clock()))
         self.administrative_drains = self.endpoint_views.administrative_drains
         self.latency_estimator = self.endpoint_views.latency_estimator
         self.deployment_facts = self.endpoint_views.deployment_facts
@@ -147,6 +152,14 @@
         """A health check ended; `report` holds the load report's columns, or nothing."""
         self.endpoint_views.handle_health_check_result(endpoint, outcome, elapsed_ns, report)
 
+    def record_refusal(self, endpoint: bytes) -> None:
+        """An endpoint refused a connection: its process has ended."""
+        self.endpoint_views.record_unavailable(endpoint)
+
+    def review_unconfirmed_endpoints(self) -> None:
+        """Suspend endpoints that were seen to end while the list is not confirmed; several times a second."""
+        self.endpoint_views.review_unconfirmed_endpoints()
+
     def drain_endpoint(self, endpoint: bytes) -> bool:
         """Have nothing new sent there until it is restored; whether it was ever listed and is drained now."""
         return self.endpoint_views.drain_endpoint(endpoint)
@@ -249,6 +262,7 @@
             "module.held": ResourceUsage(len(balancer.requests.waiting), connections),
             "settings.classes": ResourceUsage(len(self.settings.classes), max_classes),
             **self.administrative_drains.resource_usage(),
+            **views.unconfirmed.resource_usage(names),
             **self.latency_estimator.resource_usage(names),
             **self.deployment_facts.resource_usage(names),
         }
--- a/linnetshift/broker/endpoint_views.py
+++ b/linnetshift/broker/endpoint_views.py
@@ -9,6 +9,8 @@
 from linnetshift.broker.deployment_facts import DeploymentFacts
 from linnetshift.broker.event_inbox import EventInbox
 from linnetshift.broker.latency_estimator import LatencyEstimator
+from linnetshift.broker.unconfirmed_endpoints import UnconfirmedEndpoints
+from linnetshift.discovery.list_lease import ListLease
 from linnetshift.routing.events import EndpointList, HealthCheckResult, Outcome
 from linnetshift.routing.settings import Settings
 
@@ -16,13 +18,16 @@
 class EndpointViews:
     """Keeps the views of endpoints in step with the list, and passes the list on to the balancer."""
 
-    def __init__(self, settings: Settings, clock: Callable[[], int], inbox: EventInbox) -> None:
-        """Start with no endpoints known."""
+    def __init__(
+        self, settings: Settings, clock: Callable[[], int], inbox: EventInbox, lease: ListLease
+    ) -> None:
+        """Start with no endpoints known; `lease` is that of the list."""
         self.clock = clock
         self.inbox = inbox
         self.zones: dict[bytes, int] = {}  # number of each endpoint's zone
         self.started_ns: dict[bytes, int] = {}  # when each endpoint last started, as listed; 0: long ago
         self.administrative_drains = AdministrativeDrains(clock)
+        self.unconfirmed = UnconfirmedEndpoints(lease)
         self.latency_estimator = LatencyEstimator()
         self.deployment_facts = DeploymentFacts()
         self.configure(settings)
@@ -37,9 +42,12 @@
 
     def handle_endpoint_list(self, event: EndpointList) -> None:
         """Record a list or its changes from discovery, or that discovery failed."""
+        self.unconfirmed.handle_endpoint_list(event)
         self._apply(self.administrative_drains.overlay(event))
+        self.review_unconfirmed_endpoints()
         for endpoint in self.administrative_drains.forget_removed():
             self.latency_estimator.forget(endpoint)
+            self.unconfirmed.forget(endpoint)
             self.zones.pop(endpoint, None)
             self.started_ns.pop(endpoint, None)
 
@@ -83,6 +91,16 @@
         self.deployment_facts.handle_endpoint_list(event.entries, is_full, self.clock())
         self.inbox.post(event)
 
+    def record_unavailable(self, endpoint: bytes) -> None:
+        """An endpoint refused a connection, so has no process, or sent a client away, so drains."""
+        if self.administrative_drains.is_known(endpoint):
+            self.unconfirmed.record_unavailable(endpoint, self.clock())
+
+    def review_unconfirmed_endpoints(self) -> None:
+        """Notify the balancer of endpoints that it must not use, or may again, by the list's lease."""
+        for suspension in self.unconfirmed.review(self.clock()):
+            self.inbox.post(suspension)
+
     # ---- observations -----------------------------------------------------------------------
 
     def handle_health_check_result(
--- a/linnetshift/broker/event_inbox.py
+++ b/linnetshift/broker/event_inbox.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from linnetshift.broker.ports import Timers
-from linnetshift.routing.events import EndpointList, Event
+from linnetshift.routing.events import EndpointList, EndpointSuspension, Event
+
+ENDPOINT_CHANGES = (EndpointList, EndpointSuspension)
 
 
 class EventInbox:
@@ -27,5 +29,5 @@
         """
         events = self.events
         self.events = []
-        events.sort(key=lambda event: type(event) is not EndpointList)
+        events.sort(key=lambda event: not isinstance(event, ENDPOINT_CHANGES))
         return events
--- a/linnetshift/decision_loop.py
+++ b/linnetshift/decision_loop.py
@@ -90,6 +90,7 @@
 
     def _review(self, number: int) -> None:
         self.broker.review_unresponsive_endpoints()
+        self.broker.review_unconfirmed_endpoints()
         if number % REVIEWS_PER_LATENCY_REVIEW == 0:
             self.broker.review_latency()
             for fact, value in self.broker.deployment_facts.take_unreported():
--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -14,6 +14,7 @@
     parse_endpoint_list,
 )
 from linnetshift.discovery.http_call import CallEnded, DiscoveryCall
+from linnetshift.discovery.list_lease import ListLease
 from linnetshift.discovery.stale_list import StaleListFilter
 from linnetshift.event_loop.actor import Actor, ActorCoroutine
 from linnetshift.event_loop.address import Address
@@ -112,20 +113,26 @@
         timeouts: WatchTimeouts,
         seed: int = 0,
         notify_call_ended: Callable[[], None] = lambda: None,
+        lease: ListLease | None = None,
     ) -> None:
-        """`known` is the list in use at the start; `notify_call_ended` is called whatever a call brought."""
+        """`known` is the list in use at the start; `notify_call_ended` is called whatever a call brought.
+
+        `lease` is that of the list, and is kept up to date here.
+        """
         super().__init__(loop)
         self.address = address
         self.names = names
         self.notify_update = notify_update
         self.timeouts = timeouts
         self.notify_call_ended = notify_call_ended
+        self.lease = lease or ListLease(loop.now())
         self.random = random.Random(seed)
         self.stale_lists = StaleListFilter(known.event)
         self.needs_full_list = False  # the address is new and has not answered yet
         self.consecutive_failures = 0  # calls of the watch that were refused, broken off or not answered
         self.last_watch_failed = False  # or brought nothing in time, or a list that was not used
         self.is_refetch_scheduled = False
+        self.watch_wait_ns = 0  # how long discovery is to hold the latest watch open
         self.watch_call: DiscoveryCall | None = None
         self.previous_watch_call: DiscoveryCall | None = None  # at an address that was left
 
@@ -181,6 +188,7 @@
     def _handle_relocation(self, address: Address, timeouts: WatchTimeouts) -> None:
         """Open the watch at the address at once."""
         self.timeouts = timeouts
+        self.lease.handle_reload(self.loop.now())
         if address != self.address:
             # The old address may be silent, so nothing may wait for the watch there to end. Its last answer
             # still counts if it comes before one of the new address.
@@ -210,6 +218,7 @@
             self.watch_call = self._call(LIST_PATH, limit_ns)
             return
         wait_ms = self._draw_wait_ms()
+        self.watch_wait_ns = wait_ms * MS
         path = f"{LIST_PATH}?since={self.version}&timeout_ms={wait_ms}"
         self.watch_call = self._call(path, wait_ms * MS + (self.timeouts.margin_ns << doublings))
 
@@ -250,6 +259,7 @@
         """Pass the list on, and fetch it again later where some of it was invalid."""
         event = list_update.event
         self.stale_lists.accept(event)
+        self.lease.renew(self.loop.now())
         # An agent may be called several times a second, mostly without a change.
         if event.entries or event.form == ListForm.FULL or not self.timeouts.is_pushed:
             self.notify_update(list_update)
@@ -264,11 +274,13 @@
         self.last_watch_failed = False
         self.consecutive_failures = 0
         self._open_watch()
+        self.lease.extend(self.loop.now(), self.watch_wait_ns)
 
     def _handle_watch_failed(self, has_timed_out: bool) -> None:
         """Reopen the watch, or leave it to the decisions when to."""
         self.last_watch_failed = True
         self.consecutive_failures += 1
+        self.lease.handle_watch_failed(self.loop.now())
         if has_timed_out:
             self._open_watch()  # without a back-off: the time-out was one
         elif self.timeouts.is_pushed:
--- a/linnetshift/event_loop/outbound_connection.py
+++ b/linnetshift/event_loop/outbound_connection.py
@@ -36,6 +36,7 @@
     """
 
     stream: Stream | None = None
+    was_refused = False  # by the peer's machine: no process listens there
 
     def faulted(self, error: Exception) -> None:
         """Contain a fault on one connection: it must not end the process."""
@@ -53,14 +54,19 @@
         if sock is None:
             return False
         self.stream = stream = Stream(self.loop, sock, self.post_io)
-        if not _start_connecting(stream, sock, address):
+        error = _start_connecting(stream, sock, address)
+        if error:
+            self.was_refused = error == errno.ECONNREFUSED
             return False
         timer = self.set_timer(timeout_ns, ConnectionTimer.CONNECT)
         while stream.connecting:
             match (yield):
                 case Io():
                     # It may be established and abandoned, so closed, in one turn, before this is handled.
-                    if stream.closed or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                    if stream.closed:
+                        return False
+                    if error := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                        self.was_refused = error == errno.ECONNREFUSED
                         return False
                     stream.connecting = False
                     stream.arm()
@@ -80,17 +86,17 @@
                     return None
 
 
-def _start_connecting(stream: Stream, sock: socket.socket, address: Address) -> bool:
-    """Begin to connect without blocking; False where that failed at once."""
+def _start_connecting(stream: Stream, sock: socket.socket, address: Address) -> int:
+    """Begin to connect without blocking; returns the error where that failed at once, else 0."""
     try:
         code = sock.connect_ex(address)
     except OSError as error:
         code = error.errno or errno.EINVAL
     if code not in (0, errno.EINPROGRESS):
-        return False
+        return code
     stream.connecting = code != 0
     stream.arm()
-    return True
+    return 0
 
 
 def linger(actor: Actor, stream: Stream, receive_until: int = 0) -> Steps:
--- a/linnetshift/proxy.py
+++ b/linnetshift/proxy.py
@@ -15,6 +15,7 @@
 from linnetshift.config.proxy_file import ProxyConfig
 from linnetshift.decision_loop import DecisionLoop
 from linnetshift.discovery.endpoint_list import EndpointListUpdate
+from linnetshift.discovery.list_lease import ListLease
 from linnetshift.discovery.watch import Discovery, WatchTimeouts
 from linnetshift.event_loop.connection_limits import ConnectionLimiter
 from linnetshift.event_loop.loop import Loop
@@ -95,6 +96,7 @@
         # Where lists are pushed, the agent on this machine has the current one from the start: nothing is
         # decided on the file's older one before the agent has answered or failed.
         self.decision_loop = DecisionLoop(self.loop, waits_for_discovery=not config.settings.must_poll)
+        list_lease = ListLease(self.loop.now())
         self.discovery = Discovery(
             self.loop,
             config.discovery,
@@ -104,6 +106,7 @@
             WatchTimeouts.of(config.settings),
             config.seed,
             self.decision_loop.handle_discovery_ready,
+            list_lease,
         )
         self.broker = Broker(
             config.settings,
@@ -113,6 +116,7 @@
             self.discovery,
             self.connector,
             broker_config.contracts,
+            list_lease,
         )
         self.decision_loop.broker = self.broker
         self.connector.broker = self.broker
--- a/linnetshift/routing/balancer.py
+++ b/linnetshift/routing/balancer.py
@@ -24,6 +24,7 @@
     ConnectionEstablished,
     ConnectionNote,
     EndpointList,
+    EndpointSuspension,
     Event,
     HealthCheckResult,
     ListForm,
@@ -129,11 +130,16 @@
             case _:
                 self._dispatch_other(event)
 
-    def _dispatch_other(self, event: EndpointList | HealthCheckResult | PeerMessage | TimerFired) -> None:
+    def _dispatch_other(
+        self, event: EndpointList | EndpointSuspension | HealthCheckResult | PeerMessage | TimerFired
+    ) -> None:
         """Hand one event that belongs to no request to the method for its type."""
         match event:
             case EndpointList():
                 self._handle_endpoint_list(event)
+            case EndpointSuspension():
+                self.endpoints.suspend(event)
+                self.ranking.invalidate()
             case HealthCheckResult():
                 self._handle_health_check_result(event)
             case PeerMessage():
--- a/linnetshift/routing/endpoint_selection.py
+++ b/linnetshift/routing/endpoint_selection.py
@@ -77,9 +77,7 @@
                 continue
             if not is_last_chance and self.is_avoided(other, pending.request_class):
                 continue
-            if self._may_receive(other, is_mid_flow=False) or (
-                is_last_chance and other.state == EndpointState.READY
-            ):
+            if self._may_receive(other, is_mid_flow=False) or (is_last_chance and other.accepts_new):
                 return other
         return None
 
@@ -105,7 +103,7 @@
         shortest_ns = math.inf
         usable: list[bytes] = []
         for endpoint in self._endpoints.values():
-            if endpoint.state != EndpointState.READY:
+            if not endpoint.accepts_new:
                 continue
             is_bad = endpoint.is_overloaded or endpoint.returns_errors()
             ejection_ns = endpoint.ejected_until - now if is_bad else 0
@@ -132,7 +130,7 @@
             may_receive = (
                 self._may_receive(endpoint, is_mid_flow)
                 or endpoint is drawn
-                or (endpoint.is_recovery_due and endpoint.state == EndpointState.READY)
+                or (endpoint.is_recovery_due and endpoint.accepts_new)
             )
             if may_receive and may_execute_on(pending, endpoint):
                 yield endpoint
@@ -166,6 +164,8 @@
 
     def _may_receive(self, endpoint: Endpoint, is_mid_flow: bool) -> bool:
         """Whether it is ready and warm; packets of open connections may also go to one in its drain grace."""
+        if endpoint.is_suspended and not is_mid_flow:
+            return False
         if endpoint.state == EndpointState.READY:
             return not self._endpoints.is_warming_up(endpoint)
         settings = self._context.settings
--- a/linnetshift/routing/endpoints.py
+++ b/linnetshift/routing/endpoints.py
@@ -7,7 +7,13 @@
 from typing import TYPE_CHECKING
 
 from linnetshift.routing.context import RoutingContext
-from linnetshift.routing.events import EndpointEntry, EndpointList, EndpointState, ListForm
+from linnetshift.routing.events import (
+    EndpointEntry,
+    EndpointList,
+    EndpointState,
+    EndpointSuspension,
+    ListForm,
+)
 from linnetshift.routing.settings import RequestClass
 from linnetshift.routing.slow_start import warm_up_factor
 
@@ -42,6 +48,7 @@
     cell: int = 0
     kind: int = 0
     state: int = EndpointState.READY
+    is_suspended: bool = False  # nothing new may go there though it is listed as ready
     weight: float = 1.0
     started_at: int = 0  # 0: long ago
     drain_within_ns: int = 0  # how soon after it began to drain it may stop, 0 where that is not known
@@ -67,6 +74,11 @@
     half_open_request: int = NO_REQUEST  # the request whose attempt tests it after an ejection
     is_recovery_due: bool = False  # ready again: the next request goes there, as else none might for long
 
+    @property
+    def accepts_new(self) -> bool:
+        """Whether it is ready and new connections may be sent there."""
+        return self.state == EndpointState.READY and not self.is_suspended
+
     def add_established(self, pending: PendingRequest) -> None:
         """Count a connection that was established here."""
         self.established[pending.request.request_id] = pending
@@ -158,6 +170,12 @@
         self._delete_unused()
         return [endpoint for endpoint in unavailable if endpoint.established]
 
+    def suspend(self, event: EndpointSuspension) -> None:
+        """Suspend an endpoint or use it again; without effect on one that is not known."""
+        endpoint = self._by_id.get(event.endpoint)
+        if endpoint is not None:
+            endpoint.is_suspended = event.is_suspended
+
     def warm_up_factor(self, endpoint: Endpoint) -> float:
         """The share of its capacity that an endpoint is certain to have by now, 1.0 once it is warm."""
         return warm_up_factor(self._context.settings, endpoint.started_at, self._context.now)
--- a/linnetshift/routing/events.py
+++ b/linnetshift/routing/events.py
@@ -111,6 +111,13 @@
     entries: tuple[EndpointEntry, ...]
 
 
+class EndpointSuspension(NamedTuple):
+    """Nothing new may be sent to an endpoint that is listed as ready, or again; connections there stay."""
+
+    endpoint: bytes
+    is_suspended: bool
+
+
 class Request(NamedTuple):
     """A client asks for a connection; one final answer is owed."""
 
@@ -204,6 +211,7 @@
 
 Event = (
     EndpointList
+    | EndpointSuspension
     | Request
     | AdoptedConnection
     | ConnectionEstablished
--- a/linnetshift/routing/ranking.py
+++ b/linnetshift/routing/ranking.py
@@ -123,7 +123,7 @@
         self._slow_start.shares = {
             endpoint.id: capacity / total
             for endpoint, capacity in zip(listed, capacities, strict=True)
-            if endpoint.state == EndpointState.READY and self._endpoints.is_warming_up(endpoint)
+            if endpoint.accepts_new and self._endpoints.is_warming_up(endpoint)
         }
         own_connections = sum(len(endpoint.established) for endpoint in self._endpoints.values())
         self._update_connections_per_weight()
--- a/linnetshift/upstream/attempt_setup.py
+++ b/linnetshift/upstream/attempt_setup.py
@@ -56,6 +56,8 @@
         limit_ns = min(self.broker.settings.connect_timeout_ns, self.attempt.deadline - self.loop.now())
         is_connected = yield from connection.connect(connection.address, limit_ns)
         if not is_connected:
+            if connection.was_refused:
+                self.broker.record_refusal(self.attempt.endpoint)
             reason = Reason.ABANDONED if connection.is_released else Reason.UNREACHABLE
             return AttemptResult(reason, Outcome.CONNECT_FAILED)
         stream = connection.stream
--- a/linnetshift/upstream/health_checker.py
+++ b/linnetshift/upstream/health_checker.py
@@ -42,12 +42,17 @@
         endpoint: bytes,
         columns: tuple[str, ...],
         notify_result: Callable[[Outcome, int, tuple[float, ...]], None],
+        notify_refused: Callable[[], None],
     ) -> None:
-        """`notify_result` gets the outcome, the response time in ns, and the figures of the load report."""
+        """`notify_result` gets the outcome, the response time in ns, and the figures of the load report.
+
+        `notify_refused` is called first where the endpoint's machine refused the connection.
+        """
         super().__init__(loop)
         self.endpoint = endpoint
         self.columns = columns
         self.notify_result = notify_result
+        self.notify_refused = notify_refused
         self.started_at_ns = loop.now()
         self.figures: tuple[float, ...] = ()
 
@@ -63,6 +68,8 @@
             outcome = yield from self._await_answer(stream)
         if stream is not None:
             stream.close()
+        if self.was_refused:
+            self.notify_refused()
         self._report(outcome)
 
     def report_failure(self) -> None:
--- a/rig/fleet/fault_injection.py
+++ b/rig/fleet/fault_injection.py
@@ -98,17 +98,24 @@
         uids = deployment.endpoint_uids(fault.endpoints)
         for uid in uids:
             deployment.endpoints[uid].stop()
-        deployment.publish_list()
-        if not fault.duration_s:
-            return
-        await asyncio.sleep(fault.duration_s)
-        for uid in uids:
-            endpoint = deployment.endpoints[uid]
-            endpoint.listeners = NodeListeners()
-            await endpoint.start_again()
             for node in deployment.nodes:
-                node.endpoint_links[uid].target = ("127.0.0.1", endpoint.listeners.ports[node.number])
+                node.endpoint_links[uid].stop_listening()
         deployment.publish_list()
+        if fault.duration_s:
+            await asyncio.sleep(fault.duration_s)
+            for uid in uids:
+                await self._restart_endpoint(uid)
+            deployment.publish_list()
+
+    async def _restart_endpoint(self, uid: str) -> None:
+        """Start an endpoint that ended, as a new process under its name and at its address."""
+        endpoint = self.deployment.endpoints[uid]
+        endpoint.listeners = NodeListeners()
+        await endpoint.start_again()
+        for node in self.deployment.nodes:
+            link = node.endpoint_links[uid]
+            link.target = ("127.0.0.1", endpoint.listeners.ports[node.number])
+            await link.open()
 
     async def _slow_endpoints(self, fault: Fault) -> None:
         uids = self.deployment.endpoint_uids(fault.endpoints)
--- a/rig/fleet/faulty_links.py
+++ b/rig/fleet/faulty_links.py
@@ -57,10 +57,17 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0, backlog=LISTEN_BACKLOG)
+        """Listen on a free port, or on that of before."""
+        self._server = await asyncio.start_server(
+            self._accept, "127.0.0.1", self.port, backlog=LISTEN_BACKLOG
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def stop_listening(self) -> None:
+        """Have new connections refused by the machine, as after the end of a process, until `open`."""
+        if self._server is not None:
+            self._server.close()
+
     @property
     def address(self) -> str:
         """Where it listens, as host:port."""
--- a/tests/emulated_peers.py
+++ b/tests/emulated_peers.py
@@ -32,6 +32,15 @@
         """Accept the next connection."""
         return PeerConnection(self.sock.accept()[0])
 
+    def stop_listening(self) -> None:
+        """Have new connections refused, as after the end of the process."""
+        self.sock.close()
+
+    def listen_again(self) -> None:
+        """Listen on the same port again."""
+        self.sock = socket.create_server(("127.0.0.1", self.port))
+        self.sock.settimeout(WAIT_S)
+
     def fill_accept_queue(self) -> None:
         """Leave new connections connecting: the queue of those to accept is full from now on."""
         self.sock.listen(0)
--- a/tests/test_broker_parts.py
+++ b/tests/test_broker_parts.py
@@ -14,6 +14,7 @@
 from linnetshift.broker.migration_balance import MIGRATION_MEMORY_NS, MigrationBalance
 from linnetshift.broker.request_table import OVERDUE_NS
 from linnetshift.broker.snapshot import export_state, import_state
+from linnetshift.discovery.list_lease import ListLease
 from linnetshift.routing.events import (
     EndpointList,
     EndpointState,
@@ -56,7 +57,7 @@
 @pytest.fixture
 def views() -> EndpointViews:
     endpoint_views = EndpointViews(
-        Settings.parse(raw_settings()), lambda: 5 * S, inbox_of(FakeSurroundings())
+        Settings.parse(raw_settings()), lambda: 5 * S, inbox_of(FakeSurroundings()), ListLease(5 * S)
     )
     endpoint_views.handle_endpoint_list(listed(entry(1, started_ns=S), entry(2)))
     endpoint_views.inbox.take()
--- /dev/null
+++ b/tests/test_unconfirmed_endpoints.py
@@ -0,0 +1,123 @@
+"""Endpoints that were seen to end or to drain, and what discovery has confirmed since."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from conftest import S, endpoint, entry, listed
+from fake_surroundings import FakeSurroundings
+from proxy_harness import started_proxy
+from running_proxy import ranked
+
+from linnetshift.broker.unconfirmed_endpoints import UnconfirmedEndpoints
+from linnetshift.discovery.list_lease import ListLease
+from linnetshift.routing.events import EndpointList, EndpointSuspension, ListForm, Outcome
+
+NO_CHANGES = EndpointList(ListForm.DELTA, 2, ())
+SUSPENSION = EndpointSuspension(endpoint(1), is_suspended=True)
+RESUMPTION = EndpointSuspension(endpoint(1), is_suspended=False)
+
+
+@pytest.fixture
+def lease() -> ListLease:
+    return ListLease(0)
+
+
+@pytest.fixture
+def unconfirmed(lease: ListLease) -> UnconfirmedEndpoints:
+    """Endpoint 1 was seen to end at 1 s."""
+    endpoints = UnconfirmedEndpoints(lease)
+    endpoints.record_unavailable(endpoint(1), 1 * S)
+    return endpoints
+
+
+def test_endpoint_that_ended_is_suspended_once_the_lease_has_expired(
+    unconfirmed: UnconfirmedEndpoints,
+) -> None:
+    assert unconfirmed.review(5 * S) == []
+    assert unconfirmed.review(6 * S) == [SUSPENSION]
+    assert unconfirmed.is_suspended(endpoint(1))
+    assert unconfirmed.review(7 * S) == []
+
+
+@pytest.mark.parametrize("update", [listed(entry(1)), listed(entry(2))])
+def test_list_that_tells_of_the_endpoint_ends_its_suspension(
+    unconfirmed: UnconfirmedEndpoints, lease: ListLease, update: EndpointList
+) -> None:
+    unconfirmed.review(6 * S)
+    lease.renew(7 * S)
+    unconfirmed.handle_endpoint_list(update)
+    assert unconfirmed.review(7 * S) == [RESUMPTION]
+    assert unconfirmed.review(20 * S) == []
+
+
+def test_answer_without_the_endpoint_counts_once_discovery_must_have_noticed(
+    unconfirmed: UnconfirmedEndpoints, lease: ListLease
+) -> None:
+    # An answer a moment after the end may be from before discovery learned of it.
+    lease.renew(2 * S)
+    unconfirmed.handle_endpoint_list(NO_CHANGES)
+    assert unconfirmed.review(8 * S) == [SUSPENSION]
+    lease.renew(9 * S)
+    unconfirmed.handle_endpoint_list(NO_CHANGES)
+    assert unconfirmed.review(9 * S) == [RESUMPTION]
+    assert unconfirmed.review(20 * S) == []
+
+
+def test_request_is_not_sent_to_a_suspended_endpoint_though_it_is_listed_as_ready() -> None:
+    surroundings = FakeSurroundings()
+    broker = surroundings.broker
+    first = surroundings.submit().attempt
+    assert first is not None
+    broker.record_refusal(first.endpoint)
+    surroundings.now += 7 * S
+    broker.review_unconfirmed_endpoints()
+    broker.process_events()
+    second = surroundings.submit(wait_ns=60 * S).attempt
+    assert second is not None
+    assert second.endpoint != first.endpoint
+    assert broker.may_send(second)
+
+
+def test_request_on_its_way_is_not_sent_once_its_endpoint_is_suspended() -> None:
+    surroundings = FakeSurroundings()
+    attempt = surroundings.submit(wait_ns=60 * S).attempt
+    assert attempt is not None
+    surroundings.broker.record_refusal(attempt.endpoint)
+    surroundings.now += 7 * S
+    attempt.deadline = surroundings.now + S
+    assert surroundings.broker.may_send(attempt)
+    surroundings.broker.review_unconfirmed_endpoints()
+    assert not surroundings.broker.may_send(attempt)
+
+
+def test_endpoint_that_sent_a_client_away_is_suspended_too() -> None:
+    surroundings = FakeSurroundings()
+    attempt = surroundings.submit(wait_ns=60 * S).attempt
+    assert attempt is not None
+    surroundings.broker.handle_attempt_ended(attempt, Outcome.CANCELLED)
+    surroundings.now += 7 * S
+    surroundings.broker.review_unconfirmed_endpoints()
+    assert surroundings.broker.endpoint_views.unconfirmed.is_suspended(attempt.endpoint)
+
+
+def test_endpoint_that_ended_and_returned_gets_no_request_while_discovery_answers_nothing(
+    tmp_path: Path,
+) -> None:
+    # It used to: by then discovery had listed it as removed, and that counted as known.
+    with started_proxy(tmp_path, endpoints=2, discovery="ask") as running:
+        best, other = ranked(running)
+        running.discovery.fail(True)
+        best.stop_listening()
+        connections = [running.open(), other.serve()]
+        assert connections[0].line() == b"UP r1\r\n"
+        best.listen_again()
+        running.logged(f"event=endpoint-suspended endpoint={best.uid}")
+        for _ in range(3):
+            client = running.open()
+            connections += [client, other.serve()]
+            assert client.line() == b"UP r1\r\n"
+        running.discovery.fail(False)
+        running.discovery.change()
+        running.logged(f"event=endpoint-resumed endpoint={best.uid}")
