Discovery: answers to calls that a reload or a move replaced are used

Cause: a watch that was replaced at the same address was closed, with what discovery had written to it; after two moves, or the first answer of the new address, the former watch was forgotten. Class: what was received is thrown away since the call it came on is no longer the one expected. Change: replaced watches are heard out, up to four; their lists are used, those of a former address if they are newer. Evidence: the tests for a reload and for two moves time out without it; all pass with it, and so do the other tests of the watch.

--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -42,6 +42,8 @@
 # Waits are drawn between this share and the whole, so that proxies whose watches ended together do not all
 # call together again.
 MIN_WAIT_SHARE = 0.75
+# Calls beside the watch are heard out, up to so many; the oldest is ended for one more.
+MAX_OTHER_CALLS = 4
 # Pause before the list is fetched again after an answer with invalid entries.
 REFETCH_DELAY_NS = 2 * S
 
@@ -134,7 +136,7 @@
         self.is_refetch_scheduled = False
         self.watch_wait_ns = 0  # how long discovery is to hold the latest watch open
         self.watch_call: DiscoveryCall | None = None
-        self.previous_watch_call: DiscoveryCall | None = None  # at an address that was left
+        self.other_calls: list[DiscoveryCall] = []  # former watches, and single fetches of the list
 
     @property
     def version(self) -> int:
@@ -173,12 +175,12 @@
             case SetWatch(is_on=False):
                 self.watch_call = None  # its answer is ignored
             case FetchList():
-                self._call(LIST_PATH, self.timeouts.full_list_ns)
+                self._fetch_list()
             case Relocate(address, timeouts):
                 self._handle_relocation(address, timeouts)
             case Timeout(tag=WatchTimer.REFETCH):
                 self.is_refetch_scheduled = False
-                self._call(LIST_PATH, self.timeouts.full_list_ns)
+                self._fetch_list()
             case Timeout(tag=WatchTimer.REOPEN) if self.watch_call is None:
                 self._open_watch()
             case CallEnded(call, document, has_timed_out):
@@ -186,19 +188,30 @@
                 self.notify_call_ended()
 
     def _handle_relocation(self, address: Address, timeouts: WatchTimeouts) -> None:
-        """Open the watch at the address at once."""
+        """Open the watch at the address at once.
+
+        The watch before may have fallen silent, so nothing waits for its end. But what discovery has written
+        to it counts as known here, so it is heard out.
+        """
         self.timeouts = timeouts
         self.lease.handle_reload(self.loop.now())
+        if self.watch_call is not None:
+            self._add_other_call(self.watch_call)
         if address != self.address:
-            # The old address may be silent, so nothing may wait for the watch there to end. Its last answer
-            # still counts if it comes before one of the new address.
-            self.previous_watch_call = self.watch_call or self.previous_watch_call
             self.address = address
             self.needs_full_list = True
-        elif self.watch_call is not None:
-            self.watch_call.end()  # it may have fallen silent
         self._open_watch()
 
+    def _add_other_call(self, call: DiscoveryCall) -> None:
+        """Keep a call whose answer is used beside the watch's."""
+        self.other_calls.append(call)
+        if len(self.other_calls) > MAX_OTHER_CALLS:
+            self.other_calls.pop(0).end()
+
+    def _fetch_list(self) -> None:
+        """Call for the full list beside the watch."""
+        self._add_other_call(self._call(LIST_PATH, self.timeouts.full_list_ns))
+
     def _call(self, path: str, limit_ns: int) -> DiscoveryCall:
         """Start a call; its end arrives as `CallEnded`."""
         call = DiscoveryCall(self.loop, self.address, path, limit_ns, self)
@@ -238,12 +251,14 @@
         is_watch = call is self.watch_call
         if is_watch:
             self.watch_call = None
-        elif call is self.previous_watch_call:
-            self.previous_watch_call = None
-        elif call.path != LIST_PATH or call.address != self.address:
-            return  # a watch that was ended, or an address that was left
+        elif call in self.other_calls:
+            self.other_calls.remove(call)
+        else:
+            return  # a watch that the decisions ended
         try:
             list_update = parse_endpoint_list(document, self.names)
+            if not is_watch and call.address != self.address:
+                self._check_is_newer(list_update.event)
             self.stale_lists.check(list_update.event, is_watch, self.loop.now())
         except EndpointListError as error:
             if document is not None:
@@ -251,15 +266,21 @@
             if is_watch:
                 self._handle_watch_failed(has_timed_out)
             return
+        if call.address == self.address:
+            self.lease.renew(self.loop.now())
         self._accept(list_update)
         if is_watch:
             self._handle_watch_answered()
 
+    def _check_is_newer(self, event: EndpointList) -> None:
+        """Raise EndpointListError unless a list from a former address is newer than that in use."""
+        if event.version <= self.version:
+            raise EndpointListError(f"version {event.version} from a former address")
+
     def _accept(self, list_update: EndpointListUpdate) -> None:
         """Pass the list on, and fetch it again later where some of it was invalid."""
         event = list_update.event
         self.stale_lists.accept(event)
-        self.lease.renew(self.loop.now())
         # An agent may be called several times a second, mostly without a change.
         if event.entries or event.form == ListForm.FULL or not self.timeouts.is_pushed:
             self.notify_update(list_update)
@@ -270,7 +291,6 @@
     def _handle_watch_answered(self) -> None:
         """Open the next watch."""
         self.needs_full_list = False
-        self.previous_watch_call = None  # the former address has nothing newer
         self.last_watch_failed = False
         self.consecutive_failures = 0
         self._open_watch()
--- a/tests/emulated_peers.py
+++ b/tests/emulated_peers.py
@@ -9,9 +9,10 @@
 import threading
 import time
 from contextlib import suppress
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from connections import RESET, WAIT_S, Ending, PeerConnection
@@ -91,13 +92,19 @@
         }
 
 
-class HeldCall(NamedTuple):
+@dataclass
+class HeldCall:
     """A call that is answered once `release` is set, with the list as it was when the call came."""
 
     path: str
     body: bytes
     release: threading.Event
 
+    def answer_with(self, listing: dict[str, Any]) -> None:
+        """Answer with this list instead."""
+        self.body = json.dumps(listing).encode()
+        self.release.set()
+
 
 class DiscoveryServer:
     """Emulated discovery: answers calls with the list; a watch waits for a change.
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -299,6 +299,57 @@
         assert not [line for line in running.unread_lines() if "event=endpoint-list-received" in line]
 
 
+def answer_with_drain(call: HeldCall, running: RunningProxy, best: EmulatedEndpoint) -> None:
+    """Answer a call with a new version of the list, in which the endpoint drains."""
+    best.state = "DRAINING"
+    running.discovery.rev += 1
+    call.answer_with(running.discovery.listing())
+
+
+def test_answer_to_the_watch_that_a_reload_replaced_is_used(tmp_path: Path) -> None:
+    # The former call used to be closed, and what discovery had written to it was lost.
+    with started_proxy(tmp_path, endpoints=2, rules=LONG_BACKOFF["rules"]) as running:
+        best, other = ranked(running)
+        running.discovery.holds_calls = True
+        running.discovery.change()
+        former_call = unanswered_call(running)
+        running.process.send_signal(signal.SIGHUP)
+        unanswered_call(running)
+        answer_with_drain(former_call, running, best)
+        assert_request_avoids_draining_endpoint(running, best, other)
+
+
+def test_answer_from_an_address_left_two_moves_ago_is_used(tmp_path: Path) -> None:
+    # Only the call at the address before the current one used to be remembered.
+    with started_proxy(tmp_path, endpoints=2, rules=LONG_BACKOFF["rules"]) as running:
+        best, other = ranked(running)
+        running.discovery.holds_calls = True
+        running.discovery.change()
+        former_call = unanswered_call(running)
+        silent_servers = [DiscoveryServer(running.endpoints) for _ in range(2)]
+        for server in silent_servers:
+            server.holds_calls = True
+            running.reload("event=configuration-reloaded", discovery=server.address)
+            assert server.held_calls.get(timeout=WAIT_S)
+        answer_with_drain(former_call, running, best)
+        assert_request_avoids_draining_endpoint(running, best, other)
+
+
+def test_newer_answer_from_former_address_is_used_after_one_of_the_new_address(tmp_path: Path) -> None:
+    # The first answer of the new address used to end the wait for the former one.
+    with started_proxy(tmp_path, endpoints=2, rules=LONG_BACKOFF["rules"]) as running:
+        best, other = ranked(running)
+        running.discovery.holds_calls = True
+        running.discovery.change()
+        former_call = unanswered_call(running)
+        new_server = DiscoveryServer(running.endpoints)
+        new_server.rev = running.discovery.rev
+        running.reload("event=configuration-reloaded", discovery=new_server.address)
+        running.logged("event=endpoint-list-received form=full")
+        answer_with_drain(former_call, running, best)
+        assert_request_avoids_draining_endpoint(running, best, other)
+
+
 def test_silent_new_address_is_called_again(tmp_path: Path) -> None:
     with started_proxy(tmp_path, endpoints=2, rules=LONG_BACKOFF["rules"]) as running:
         best, other = ranked(running)
