Discovery: a drain in an invalid entry or in a list that is held back is seen

What callers would see: requests on a draining endpoint for 2 s where one value of its entry is of a wrong form, and for 30 s where discovery answers with an older version. Cause: such an entry was left out whole, its state with it; of a list that contradicts the one in use nothing was used. Class: partial or contradicting information is dropped, also where it forbids something. Change: an invalid entry that names its endpoint and does not have it ready makes it drain; so do the entries of an older list; the whole list is fetched 0.25 s later (2 s for more of the same), which corrects either. Evidence: the six tests fail without it, and pass with it.

--- a/linnetshift/discovery/endpoint_list.py
+++ b/linnetshift/discovery/endpoint_list.py
@@ -49,16 +49,21 @@
     """A full list or its changes for the decisions, and the addresses of its endpoints."""
 
     event: EndpointList
-    addresses: dict[bytes, Address]
-    invalid_entries: int  # how many were left out
+    addresses: dict[bytes, Address]  # of all entries but those that could be read only in part
+    invalid_entries: int  # how many were left out, or read only in part
+
+    def only_unavailable(self, version: int) -> EndpointListUpdate:
+        """Only the endpoints that are not ready, as changes to the list of that version."""
+        entries = tuple(entry for entry in self.event.entries if entry.state != EndpointState.READY)
+        return self._replace(event=EndpointList(ListForm.DELTA, version, entries))
 
 
 def parse_endpoint_list(document: Any, names: NameRegistry, is_cached: bool = False) -> EndpointListUpdate:
     """Parse a list as decoded from JSON; `is_cached` is one that was kept in a file, perhaps long ago.
 
-    Raises EndpointListError where the document is no list. An invalid entry is left out and logged. An
-    endpoint that a full list with such an entry does not name may be the one that could not be parsed, so the
-    list then counts as changes only.
+    Raises EndpointListError where the document is no list. An invalid entry is logged, and left out unless it
+    names an endpoint and does not have it ready. An endpoint that a full list with such an entry does not
+    name may be the one that could not be parsed, so the list then counts as changes only.
     """
     if not isinstance(document, dict) or not isinstance(document.get(TARGETS_KEY), list):
         raise EndpointListError("no list of targets")
@@ -73,6 +78,7 @@
             entry, address = _parse_entry(target, names)
         except ENTRY_ERRORS as error:
             errors.append(f"{type(error).__name__}: {error}")
+            entries += _parse_unavailable(target)
             continue
         entries.append(entry)
         addresses[entry.endpoint] = address
@@ -108,6 +114,31 @@
     return entry, parse_address(target[ADDRESS_KEY])
 
 
+def _parse_unavailable(target: Any) -> list[EndpointEntry]:
+    """What can be used of an invalid entry: that its endpoint is not ready, if it says so.
+
+    One whose state cannot be read is not known to be ready, and counts as draining.
+    """
+    if not isinstance(target, dict) or not isinstance(target.get(ENDPOINT_ID_KEY), str):
+        return []
+    wire_state = target.get(STATE_KEY)
+    state = STATES_BY_WIRE_NAME.get(wire_state) if isinstance(wire_state, str) else None
+    if state == EndpointState.READY:
+        return []
+    endpoint = target[ENDPOINT_ID_KEY].encode()
+    return [
+        EndpointEntry(
+            endpoint,
+            zone=UNKNOWN_NUMBER,
+            kind=UNKNOWN_NUMBER,
+            cell=0,
+            state=state or EndpointState.DRAINING,
+            weight=DEFAULT_WEIGHT,
+            started_ns=0,
+        )
+    ]
+
+
 def serialize_entry(entry: EndpointEntry, address: Address, names: NameRegistry) -> dict[str, Any]:
     """The entry as discovery would list it: what `_parse_entry` reads."""
     return {
--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -44,14 +44,16 @@
 MIN_WAIT_SHARE = 0.75
 # Calls beside the watch are heard out, up to so many; the oldest is ended for one more.
 MAX_OTHER_CALLS = 4
-# Pause before the list is fetched again after an answer with invalid entries.
+# Pause before the list is fetched again after an answer with invalid entries, or one that was held back: the
+# first soon, since what could not be used counts as known here, and more only if the next is like that too.
+FIRST_REFETCH_DELAY_NS = 250 * MS
 REFETCH_DELAY_NS = 2 * S
 
 
 class WatchTimer(Enum):
     """Tags of the timers of `Discovery`."""
 
-    REFETCH = "refetch"  # fetch the full list again, after an answer with invalid entries
+    REFETCH = "refetch"  # fetch the full list again, after an answer that could not be used whole
     REOPEN = "reopen"  # open the watch again, after an agent refused or failed a call
 
 
@@ -134,6 +136,7 @@
         self.consecutive_failures = 0  # calls of the watch that were refused, broken off or not answered
         self.last_watch_failed = False  # or brought nothing in time, or a list that was not used
         self.is_refetch_scheduled = False
+        self.refetches = 0  # since the last answer that was used whole
         self.watch_wait_ns = 0  # how long discovery is to hold the latest watch open
         self.watch_call: DiscoveryCall | None = None
         self.other_calls: list[DiscoveryCall] = []  # former watches, and single fetches of the list
@@ -255,22 +258,45 @@
             self.other_calls.remove(call)
         else:
             return  # a watch that the decisions ended
+        list_update = self._parse(document)
+        if list_update is not None and self._is_usable(list_update, call, is_watch):
+            if call.address == self.address:
+                self.lease.renew(self.loop.now())
+            self._accept(list_update)
+            if is_watch:
+                self._handle_watch_answered()
+        elif is_watch:
+            self._handle_watch_failed(has_timed_out)
+
+    def _parse(self, document: Any) -> EndpointListUpdate | None:
+        """The list in an answer; None where there is no answer, or it is no list."""
+        if document is None:
+            return None
         try:
-            list_update = parse_endpoint_list(document, self.names)
-            if not is_watch and call.address != self.address:
+            return parse_endpoint_list(document, self.names)
+        except EndpointListError as error:
+            log.info("discovery-response-ignored", error=str(error)[:MAX_LOGGED_CHARS])
+            return None
+
+    def _is_usable(self, list_update: EndpointListUpdate, call: DiscoveryCall, is_watch: bool) -> bool:
+        """Whether the list is to be used whole; of one that is held back, what is not ready is used."""
+        try:
+            if call.address != self.address:
                 self._check_is_newer(list_update.event)
             self.stale_lists.check(list_update.event, is_watch, self.loop.now())
         except EndpointListError as error:
-            if document is not None:
-                log.info("discovery-response-ignored", error=str(error)[:MAX_LOGGED_CHARS])
-            if is_watch:
-                self._handle_watch_failed(has_timed_out)
-            return
-        if call.address == self.address:
-            self.lease.renew(self.loop.now())
-        self._accept(list_update)
-        if is_watch:
-            self._handle_watch_answered()
+            log.info("discovery-response-ignored", error=str(error)[:MAX_LOGGED_CHARS])
+            if call.address == self.address:
+                self._apply_unavailable(list_update)
+            return False
+        return True
+
+    def _apply_unavailable(self, list_update: EndpointListUpdate) -> None:
+        """Use what a list that is held back says of endpoints that are not ready, until a current one."""
+        unavailable = list_update.only_unavailable(self.version)
+        if unavailable.event.entries:
+            self.notify_update(unavailable)
+            self._schedule_refetch()
 
     def _check_is_newer(self, event: EndpointList) -> None:
         """Raise EndpointListError unless a list from a former address is newer than that in use."""
@@ -284,9 +310,18 @@
         # An agent may be called several times a second, mostly without a change.
         if event.entries or event.form == ListForm.FULL or not self.timeouts.is_pushed:
             self.notify_update(list_update)
-        if list_update.invalid_entries and not self.is_refetch_scheduled:
-            self.is_refetch_scheduled = True
-            self.set_timer(REFETCH_DELAY_NS, WatchTimer.REFETCH)
+        if list_update.invalid_entries:
+            self._schedule_refetch()
+        else:
+            self.refetches = 0
+
+    def _schedule_refetch(self) -> None:
+        """Fetch the full list soon, unless that is to happen already."""
+        if self.is_refetch_scheduled:
+            return
+        self.is_refetch_scheduled = True
+        self.set_timer(REFETCH_DELAY_NS if self.refetches else FIRST_REFETCH_DELAY_NS, WatchTimer.REFETCH)
+        self.refetches += 1
 
     def _handle_watch_answered(self) -> None:
         """Open the next watch."""
--- a/linnetshift/proxy.py
+++ b/linnetshift/proxy.py
@@ -199,7 +199,11 @@
         excess = len(list_update.event.entries) - len(event.entries)
         if excess:
             log.info("endpoint-limit-exceeded", left_out=excess)
-        addresses = {entry.endpoint: list_update.addresses[entry.endpoint] for entry in event.entries}
+        addresses = {
+            entry.endpoint: list_update.addresses[entry.endpoint]
+            for entry in event.entries
+            if entry.endpoint in list_update.addresses
+        }
         self.connector.handle_endpoint_list(event, addresses)
         self.broker.handle_endpoint_list(event)
 
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -363,6 +363,52 @@
         assert_request_avoids_draining_endpoint(running, best, other)
 
 
+@pytest.mark.parametrize(
+    "invalid_fields",
+    [
+        {"capacity_hint": "large"},
+        {"pod_group": "x"},
+        {"boot_ms": "x"},
+        {"endpoint": "here"},
+        {"state": "LEAVING"},
+    ],
+)
+def test_drain_is_seen_in_an_entry_with_an_invalid_field(
+    tmp_path: Path, invalid_fields: dict[str, Any]
+) -> None:
+    # Such an entry used to be left out whole, its state with it.
+    with started_proxy(tmp_path, endpoints=2, **LONG_BACKOFF) as running:
+        best, other = ranked(running)
+        best.state = "DRAINING"
+        listing = running.discovery.listing()
+        listing["rev"] += 1
+        listing["targets"] = [
+            target | invalid_fields for target in listing["targets"] if target["uid"] == best.uid
+        ]
+        running.discovery.holds_calls = True  # of those that follow
+        running.discovery.answer_once(listing)
+        assert_request_avoids_draining_endpoint(running, best, other)
+
+
+def test_drain_is_seen_in_a_list_that_is_held_back_for_its_version(tmp_path: Path) -> None:
+    # Nothing of an older list used to be used for 30 s.
+    with started_proxy(tmp_path, endpoints=2, **LONG_BACKOFF) as running:
+        best, other = ranked(running)
+        best.state = "DRAINING"
+        older = running.discovery.listing() | {"rev": 0}
+        best.state = "SERVING"
+        running.discovery.answer_once(older)
+        running.logged("event=discovery-response-ignored .*version 0")
+        running.logged("event=endpoint-list-received .*draining=1")
+        # The current list is fetched, and has the endpoint ready.
+        running.logged("event=endpoint-list-received form=full .*draining=0")
+        client = running.open()
+        assert running.next_attempted() is best
+        best.serve()
+        assert client.line() == b"UP r1\r\n"
+        assert other
+
+
 @pytest.mark.parametrize("indent", [None, 2])
 def test_indented_list_in_several_segments_is_parsed(tmp_path: Path, indent: int | None) -> None:
     with started_proxy(tmp_path, endpoints=2) as running:
