Rig: a soak of random faults by seeds, and rules for lost answers, leaves and cut-off connections

Change: bench/fault_soak.py draws both ways of delivery, 1 to 6 processes, drains, replacements, crashes, signals in series, moves of discovery, SIGTERM with SIGKILL at the earliest, answers late, in pieces, of an older version, refused, with an invalid entry, crowds of idle clients, clients that leave. The oracle counts at the peers; a closed connection no longer counts as an answer. Links keep a reserved port, as one could be taken while nothing listened (the first soak ended by that: EADDRINUSE).

--- /dev/null
+++ b/bench/fault_soak.py
@@ -0,0 +1,54 @@
+"""Random faults on real processes, by seeds: what clients, endpoints and discovery saw must keep the rules.
+
+Run from the repository's root: .venv/bin/python bench/fault_soak.py [--first 1] [--seeds 50] [--parallel 4]
+A seed that fails prints its faults and violations, and can be played again by itself; its logs are kept.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from tempfile import mkdtemp
+
+ROOT = Path(__file__).parent.parent
+sys.path[:0] = [str(ROOT)]
+
+from rig.fleet.random_scenario import draw_scenario  # noqa: E402
+from rig.fleet.run import run_scenario  # noqa: E402
+
+
+def play(seed: int) -> tuple[int, str]:
+    """Play a seed; returns it with a text of what was broken, empty where nothing was."""
+    scenario = draw_scenario(seed)
+    folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
+    report = run_scenario(scenario, folder)
+    if not report.violations and not report.crashes:
+        return seed, ""
+    lines = [f"seed {seed}: {scenario.nodes} nodes, {scenario.lists}, logs in {folder}"]
+    lines += [f"  {fault.at_s:6.2f} {fault}" for fault in scenario.faults]
+    lines += [f"  BROKEN {violation.rule}: {violation.detail}" for violation in report.violations]
+    lines += [f"  CRASHED {crash}" for crash in report.crashes]
+    return seed, "\n".join(lines)
+
+
+def main() -> int:
+    """Play the seeds, print those that failed, and return 1 if any did."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else "")
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--parallel", type=int, default=4)
+    options = parser.parse_args()
+    failed = []
+    with ProcessPoolExecutor(options.parallel) as pool:
+        for seed, text in pool.map(play, range(options.first, options.first + options.seeds)):
+            if text:
+                failed.append(seed)
+                print(text, flush=True)
+    print(f"{options.seeds - len(failed)} of {options.seeds} seeds kept all rules; failed: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rig/fleet/client_load.py
+++ b/rig/fleet/client_load.py
@@ -5,11 +5,12 @@
 import asyncio
 import contextlib
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from rig.fleet.deployment import Deployment
 from rig.fleet.node_process import NodeProcess
 from rig.fleet.node_settings import MESSAGE_OBJECTIVE_S
-from rig.fleet.observations import Answer, ClientRequest
+from rig.fleet.observations import CLOSED_UNANSWERED, Answer, ClientRequest
 
 MESSAGE_INTERVAL_S = 0.25
 """Time between two messages of a client, in seconds."""
@@ -27,6 +28,19 @@
 """Keys are below that."""
 
 
+MEAN_LEAVE_S = 0.3
+"""How long clients that leave without an answer wait on average, in seconds."""
+
+
+class Reply(Enum):
+    """What became of a message on an established connection."""
+
+    SERVED = auto()
+    LATE = auto()
+    MIGRATED = auto()
+    ENDED = auto()
+
+
 @dataclass(slots=True)
 class Client:
     """One client: what it asks for, and for how much longer."""
@@ -36,6 +50,8 @@
     is_at_first_node: bool
     remaining_s: float
     is_return: bool = False
+    leaves_after_s: float | None = None
+    """How long it waits for an answer before it leaves, if it does not wait for its deadline."""
 
 
 class ClientLoad:
@@ -48,12 +64,16 @@
         self.clock = deployment.clock
         self._next_request_id = FIRST_REQUEST_ID
         self._keys = deployment.scenario.stream("keys")
+        self._idle_writers: list[asyncio.StreamWriter] = []
 
     async def run(self) -> None:
         """Let clients arrive for the scenario's time; they go on as background tasks."""
         traffic = self.traffic
         arrivals = self.deployment.scenario.stream("arrivals")
         choices = self.deployment.scenario.stream("who")
+        leaves = self.deployment.scenario.stream("leaves")
+        for node in self.deployment.nodes:
+            await self._open_idle_connections(node)
         sizes = [1.0 / number**traffic.group_skew for number in range(1, traffic.groups + 1)]
         shares = [size / sum(sizes) for size in sizes]
         arrival_s = self.clock()
@@ -65,8 +85,17 @@
             lifetime_s = float(choices.exponential(traffic.mean_lifetime_s))
             key = int(self._keys.integers(1, MAX_KEY))
             client = Client(key, group, is_at_first_node, min(lifetime_s, 3 * traffic.mean_lifetime_s))
+            if float(leaves.random()) < traffic.leaving_share:
+                client.leaves_after_s = float(leaves.exponential(MEAN_LEAVE_S))
             self.deployment.background.start(self._run_client(client))
 
+    async def _open_idle_connections(self, node: NodeProcess) -> None:
+        """Connect without a request; the node may close such connections."""
+        for _ in range(self.traffic.idle_clients):
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection("127.0.0.1", node.client_link.port)
+                self._idle_writers.append(writer)
+
     async def _run_client(self, client: Client) -> None:
         """One client, through as many connections as it may open."""
         wanted_s = client.remaining_s
@@ -104,11 +133,14 @@
         self.observations.requests[request.id] = request
         writer.write(request_line(request, client))
         try:
-            line = await asyncio.wait_for(reader.readline(), deadline_s + ANSWER_TIMEOUT_S)
-            keyword = line.decode().split(" ")[0].strip() or "ended"
+            line = await self._receive_answer(reader, request, client)
+            if request.left_s is not None:
+                return
+            keyword = line.decode().split(" ")[0].strip() or CLOSED_UNANSWERED
             request.answers.append(Answer(self.clock(), keyword))
             if keyword == "UP":
-                await self._send_messages(reader, writer, client.remaining_s)
+                if await self._send_messages(reader, writer, client.remaining_s):
+                    request.cut_off_s = self.clock()
             elif second_line := await asyncio.wait_for(reader.readline(), ANSWER_TIMEOUT_S):
                 request.answers.append(Answer(self.clock(), second_line.decode().strip()))
         except (TimeoutError, OSError):
@@ -116,10 +148,25 @@
         finally:
             writer.close()
 
+    async def _receive_answer(
+        self, reader: asyncio.StreamReader, request: ClientRequest, client: Client
+    ) -> bytes:
+        """The first line of the answer; empty where the connection ends, or the client leaves."""
+        if client.leaves_after_s is None:
+            return await asyncio.wait_for(reader.readline(), request.deadline_s + ANSWER_TIMEOUT_S)
+        try:
+            return await asyncio.wait_for(reader.readline(), client.leaves_after_s)
+        except TimeoutError:
+            request.left_s = self.clock()
+            return b""
+
     async def _send_messages(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, duration_s: float
-    ) -> None:
-        """Send a message at each interval; one that comes back in time counts as served until the next."""
+    ) -> bool:
+        """Send a message at each interval; one that comes back in time counts as served until the next.
+
+        Returns whether the connection ended without a MOVE before the client had all that it wanted.
+        """
         until_s = self.clock() + duration_s
         number = 0
         while (remaining_s := until_s - self.clock()) > 0.0:
@@ -127,29 +174,30 @@
             sent_s = self.clock()
             message = b"m %d\r\n" % number
             writer.write(message)
-            is_served = False
-            with contextlib.suppress(TimeoutError):
-                is_served = await self._receive(reader, message)
-                if not is_served:
-                    return
+            reply = await self._receive(reader, message)
+            if reply in (Reply.MIGRATED, Reply.ENDED):
+                return reply is Reply.ENDED
             interval_s = min(MESSAGE_INTERVAL_S, remaining_s)
             await asyncio.sleep(max(0.0, interval_s - (self.clock() - sent_s)))
-            if is_served:
+            if reply is Reply.SERVED:
                 self.observations.served_s += interval_s
-
-    async def _receive(self, reader: asyncio.StreamReader, message: bytes) -> bool:
-        """Wait for a message to come back; False where the connection ends or is to migrate.
-
-        Raises TimeoutError once a line takes longer than the latency objective.
-        """
-        while line := await asyncio.wait_for(reader.readline(), MESSAGE_OBJECTIVE_S):
-            if line.startswith(b"MOVE"):
-                self.observations.migrations += 1
-                return False
-            if line == message:
-                return True
         return False
 
+    async def _receive(self, reader: asyncio.StreamReader, message: bytes) -> Reply:
+        """Wait for a message to come back, at most for the latency objective for each line."""
+        try:
+            while line := await asyncio.wait_for(reader.readline(), MESSAGE_OBJECTIVE_S):
+                if line.startswith(b"MOVE"):
+                    self.observations.migrations += 1
+                    return Reply.MIGRATED
+                if line == message:
+                    return Reply.SERVED
+        except TimeoutError:
+            return Reply.LATE
+        except OSError:
+            return Reply.ENDED
+        return Reply.ENDED
+
 
 def request_line(request: ClientRequest, client: Client) -> bytes:
     """The OPEN line of a request (the platform's protocol, "Clients to proxies")."""
--- a/rig/fleet/fault_injection.py
+++ b/rig/fleet/fault_injection.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import signal
 
 from rig.fleet.deployment import Deployment
 from rig.fleet.faulty_links import LinkProxy
 from rig.fleet.listeners import NodeListeners
+from rig.fleet.model_discovery import AnswerFaults
 from rig.fleet.node_process import NodeProcess
 from rig.fleet.observations import Interval
 from rig.fleet.scenario import Fault
@@ -17,6 +19,27 @@
 """How long past its fault a node still has an outage: failure detection and the start, in seconds."""
 
 
+KILL_DELAY_S = 0.7
+"""SIGKILL comes no sooner than the longest deadline and this after SIGTERM, in seconds."""
+
+MAX_DEADLINE_S = 3.0
+"""A longer deadline counts as this, in seconds."""
+
+SIGNAL_INTERVAL_S = 0.15
+"""Time between signals in a row, in seconds."""
+
+FORMER_ADDRESS_S = 1.5
+"""How long connections at an address that discovery has left stay open, in seconds."""
+
+LINK_FAULTS = frozenset(
+    {"delay", "cut", "cut-forward", "cut-backward", "reset", "refuse", "unresponsive", "slow"}
+)
+"""Faults that may end connections to endpoints."""
+
+RECORDED_BY_THEMSELVES = frozenset({"terminate", "reload", "move-discovery"})
+"""Faults in which a node has no outage, or only a part of the time."""
+
+
 class FaultInjector:
     """Injects faults, and records those that excuse a node or an endpoint."""
 
@@ -32,6 +55,18 @@
             case "kill" | "pause" | "restart":
                 nodes = [self.deployment.nodes[number] for number in fault.nodes]
                 await asyncio.gather(*(self._fail_node(node, fault) for node in nodes))
+            case "terminate":
+                await asyncio.gather(*(self._terminate_node(node, fault) for node in self._nodes_of(fault)))
+            case "reload" | "move-discovery":
+                await asyncio.gather(*(self._reload_node(node, fault) for node in self._nodes_of(fault)))
+            case (
+                "discovery-late"
+                | "discovery-unavailable"
+                | "discovery-older"
+                | "discovery-invalid-entry"
+                | "discovery-in-pieces"
+            ):
+                await self._disturb_answers(fault)
             case "drain" | "replace":
                 await self._drain_endpoints(fault)
             case "crash":
@@ -50,6 +85,14 @@
         observations = self.deployment.observations
         begin_s = self.deployment.clock()
         end_s = begin_s + fault.duration_s if fault.duration_s else math.inf
+        if fault.kind in LINK_FAULTS:
+            observations.faulty_endpoint_links |= {
+                (node.number, uid)
+                for node in self._nodes_of(fault)
+                for uid in self.deployment.endpoint_uids(fault.endpoints)
+            }
+        if fault.kind in RECORDED_BY_THEMSELVES:
+            return
         if not fault.endpoints and not fault.discovery:
             for node in self._nodes_of(fault):
                 observations.node_outages[node.number].append(Interval(begin_s, end_s + RECOVERY_S))
@@ -76,6 +119,58 @@
             await asyncio.sleep(fault.duration_s)
             await node.start()
 
+    async def _terminate_node(self, node: NodeProcess, fault: Fault) -> None:
+        """SIGTERM, some more of them, and SIGKILL at the earliest; then a start with the file of before.
+
+        Clients that are connected stay, and the node owes them an answer or a MOVE until SIGKILL.
+        """
+        process = node.process
+        assert process is not None
+        process.terminate()
+        deadline_s = min(self.deployment.scenario.traffic.deadline_s, MAX_DEADLINE_S)
+        killed_at_s = self.deployment.clock() + deadline_s + KILL_DELAY_S
+        await asyncio.sleep(self.deployment.scenario.failure_detection_s)
+        node.is_believed_up = False
+        for _ in range(fault.count - 1):
+            send_signal(process, signal.SIGTERM)
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+            send_signal(process, signal.SIGHUP)
+        await asyncio.sleep(max(0.0, killed_at_s - self.deployment.clock()))
+        begin_s = self.deployment.clock()
+        self.deployment.observations.node_outages[node.number].append(
+            Interval(begin_s, begin_s + fault.duration_s + RECOVERY_S)
+        )
+        send_signal(process, signal.SIGKILL)
+        await process.wait()
+        await asyncio.sleep(fault.duration_s)
+        await node.start(has_old_file=True)
+
+    async def _reload_node(self, node: NodeProcess, fault: Fault) -> None:
+        """SIGHUP in a row, each with a new address of discovery where it moves."""
+        former_links = []
+        for _ in range(fault.count):
+            process = node.process
+            assert process is not None
+            if fault.kind == "move-discovery":
+                former_links.append(await node.move_discovery())
+                former_links[-1].stop_listening()
+            node.write_config()
+            self.deployment.discovery.record_reload(node.number)
+            send_signal(process, signal.SIGHUP)
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+        await asyncio.sleep(FORMER_ADDRESS_S)
+        for link in former_links:
+            await link.close()
+
+    async def _disturb_answers(self, fault: Fault) -> None:
+        """Discovery's answers to the nodes have a fault."""
+        faults = [self.deployment.discovery.faults[node.number] for node in self._nodes_of(fault)]
+        for answer_faults in faults:
+            disturb_answers(answer_faults, fault, is_on=True)
+        await asyncio.sleep(fault.duration_s)
+        for answer_faults in faults:
+            disturb_answers(answer_faults, fault, is_on=False)
+
     async def _drain_endpoints(self, fault: Fault) -> None:
         """Endpoints drain and, after the duration, stop; where they are replaced, new ones start at once."""
         deployment = self.deployment
@@ -147,6 +242,27 @@
                 link.heal()
 
 
+def send_signal(process: asyncio.subprocess.Process, signal_number: signal.Signals) -> None:
+    """Send a signal to a process that may have ended."""
+    with contextlib.suppress(ProcessLookupError):
+        process.send_signal(signal_number)
+
+
+def disturb_answers(faults: AnswerFaults, fault: Fault, is_on: bool) -> None:
+    """Begin or end a fault of discovery's answers."""
+    match fault.kind:
+        case "discovery-late":
+            faults.delay_s = fault.delay_s if is_on else 0.0
+        case "discovery-unavailable":
+            faults.is_unavailable = is_on
+        case "discovery-older":
+            faults.is_older = is_on
+        case "discovery-invalid-entry":
+            faults.has_invalid_entry = is_on
+        case "discovery-in-pieces":
+            faults.is_in_pieces = is_on
+
+
 def disturb(link: LinkProxy, fault: Fault) -> None:
     """Begin a fault on one link, beside those that it has."""
     match fault.kind:
--- a/rig/fleet/faulty_links.py
+++ b/rig/fleet/faulty_links.py
@@ -10,6 +10,7 @@
 
 from rig.connection_load import LINGER_RESET
 from rig.fleet.listeners import LISTEN_BACKLOG
+from rig.free_port import free_port
 
 READ_BYTES = 16384
 """Most bytes that are passed on at once."""
@@ -57,11 +58,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
-        """Listen on a free port, or on that of before."""
+        """Listen on a free port, or on that of before, which no other connection can have taken meanwhile."""
+        self.port = self.port or free_port()
         self._server = await asyncio.start_server(
             self._accept, "127.0.0.1", self.port, backlog=LISTEN_BACKLOG
         )
-        self.port = self._server.sockets[0].getsockname()[1]
 
     def stop_listening(self) -> None:
         """Have new connections refused by the machine, as after the end of a process, until `open`."""
--- a/rig/fleet/invariants.py
+++ b/rig/fleet/invariants.py
@@ -9,7 +9,7 @@
 from itertools import pairwise
 from typing import NamedTuple
 
-from rig.fleet.observations import Attempt, EndpointStart, Observations
+from rig.fleet.observations import CLOSED_UNANSWERED, Attempt, EndpointStart, Observations
 
 ANSWER_SLACK_S = 0.5
 """How long after its deadline a final answer may come, in seconds."""
@@ -24,6 +24,10 @@
 """Time for the notice of a drain, and for a connection sent before it, to arrive, in seconds."""
 
 
+LEAVE_SLACK_S = 0.25
+"""Time for the end of a client, and for an attempt sent before it, to arrive, in seconds."""
+
+
 class Violation(NamedTuple):
     """A rule that was broken, and by what."""
 
@@ -46,6 +50,8 @@
             self.parallel_attempts,
             self.sent_to_draining,
             self.slow_start_exceeded,
+            self.sent_after_leave,
+            self.cut_off,
         )
         return [violation for rule in rules for violation in rule()]
 
@@ -53,8 +59,12 @@
         """Every request gets a final answer by its deadline, unless its node had an outage."""
         for request in self.observations.requests.values():
             limit_s = request.sent_s + request.deadline_s + ANSWER_SLACK_S
-            is_answered = any(answer.at_s <= limit_s for answer in request.answers)
+            is_answered = any(
+                answer.at_s <= limit_s and answer.keyword != CLOSED_UNANSWERED for answer in request.answers
+            )
             since_s = request.sent_s - OUTAGE_SLACK_S
+            if request.left_s is not None and request.left_s < limit_s:
+                continue
             if not is_answered and not self.observations.had_outage(request.node, since_s, limit_s):
                 detail = f"{request.id:x} at node {request.node}, sent at {request.sent_s:.3f}"
                 yield Violation("unanswered", detail)
@@ -91,6 +101,32 @@
                     detail = f"{attempt_text} at {attempt.began_s:.3f}, {delay_s:.3f} s after the notice"
                     yield Violation("sent-to-draining", detail)
 
+    def sent_after_leave(self) -> Iterator[Violation]:
+        """No attempt begins later than LEAVE_SLACK_S after the client has left."""
+        for attempt in self.observations.attempts:
+            request = self.observations.requests.get(attempt.id)
+            if request is not None and request.left_s is not None:
+                delay_s = attempt.began_s - request.left_s
+                if delay_s > LEAVE_SLACK_S:
+                    yield Violation(
+                        "sent-after-leave", f"{attempt.id:x} {delay_s:.3f} s after the client left"
+                    )
+
+    def cut_off(self) -> Iterator[Violation]:
+        """No established connection ends without MOVE while its endpoint keeps it, unless its node ended."""
+        endpoints = {attempt.id: attempt.endpoint for attempt in self.observations.attempts}
+        for request in self.observations.requests.values():
+            if request.cut_off_s is None or request.id in self.observations.ended_by_endpoint:
+                continue
+            link = (request.node, endpoints.get(request.id, ""))
+            since_s = request.cut_off_s - OUTAGE_SLACK_S
+            has_outage = self.observations.had_outage(request.node, since_s, request.cut_off_s)
+            if not has_outage and link not in self.observations.faulty_endpoint_links:
+                detail = (
+                    f"{request.id:x} by node {request.node} at {request.cut_off_s:.3f}, endpoint {link[1]}"
+                )
+                yield Violation("cut-off", detail)
+
     def slow_start_exceeded(self) -> Iterator[Violation]:
         """All nodes together send an endpoint that warms up no more than allowed, with slack for chance."""
         for start in self.observations.starts:
--- a/rig/fleet/model_discovery.py
+++ b/rig/fleet/model_discovery.py
@@ -10,6 +10,7 @@
 import json
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
 
 from rig.fleet.listeners import NodeListeners
@@ -25,6 +26,15 @@
 UNAVAILABLE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 """The answer to a call that waited too long."""
 
+RELOAD_NOTICE_S = 4.0
+"""What discovery had at a reload counts as known so long after it."""
+
+PIECES = 5
+"""Pieces of an answer that comes in pieces."""
+
+PIECE_INTERVAL_S = 0.04
+"""Time between two of them, in seconds."""
+
 ListEntry = dict[str, object]
 """An endpoint's entry of the list, as JSON."""
 
@@ -32,6 +42,19 @@
 """Entries by the endpoint's uid."""
 
 
+@dataclass
+class AnswerFaults:
+    """What is wrong with the answers to one node."""
+
+    delay_s: float = 0.0
+    is_unavailable: bool = False
+    is_older: bool = False
+    """Whether the list is that of the start, under a version before it."""
+
+    has_invalid_entry: bool = False
+    is_in_pieces: bool = False
+
+
 class DiscoveryServer:
     """Answers the nodes' calls and watches; each node has its own view of the list."""
 
@@ -52,6 +75,8 @@
         self._free_at_s = 0.0
         """When the calls that wait or are served now will all have had their turn."""
 
+        self.faults = [AnswerFaults() for _ in range(scenario.nodes)]
+        self._first_views: list[ListEntries] = [{} for _ in range(scenario.nodes)]
         self._answered_s = [-math.inf] * scenario.nodes
         """When each node was last sent an answer."""
         self._changes = [asyncio.Condition() for _ in range(scenario.nodes)]
@@ -101,7 +126,7 @@
             while head := await reader.readuntil(b"\r\n\r\n"):
                 self.observations.discovery_calls.append((self.clock(), node))
                 is_continued = self.clock() - self._answered_s[node] < CONTINUATION_S
-                if not is_continued and not await self._wait_for_turn():
+                if self.faults[node].is_unavailable or not (is_continued or await self._wait_for_turn()):
                     writer.write(UNAVAILABLE)
                     break
                 query = parse_qs(urlsplit(head.split()[1].decode()).query)
@@ -112,16 +137,35 @@
         writer.close()
 
     async def _send_document(self, writer: asyncio.StreamWriter, node: int) -> None:
-        body = json.dumps(self.document(node)).encode()
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
-            % (len(body), body)
-        )
-        await writer.drain()
+        faults = self.faults[node]
+        await asyncio.sleep(faults.delay_s)
+        if faults.is_older:
+            await self._send(
+                writer, {"rev": 0, "all": True, "targets": list(self._first_views[node].values())}
+            )
+            return
+        document = self.document(node)
+        if faults.has_invalid_entry:
+            document["targets"] = self._with_invalid_entry(node)
+        await self._send(writer, document, PIECES if faults.is_in_pieces else 1)
         self._answered_s[node] = self.clock()
         self.observations.discovery_answers.append((self._answered_s[node], node))
         self.record_view(node)
 
+    def record_reload(self, node: int) -> None:
+        """The node was told to reload: what there is now counts as known soon, wherever discovery moved."""
+        loop = asyncio.get_running_loop()
+        revision, entries = self._revisions_seen[node], self.views[node]
+        loop.call_later(RELOAD_NOTICE_S, self._record_overdue_notice, node, revision, entries)
+
+    def record_new_process(self, node: int) -> None:
+        """The node starts with an old list: it counts as notified of nothing until discovery has told it."""
+        self.observations.forget_notices(node, self.clock())
+        self._revisions_notified[node] = 0
+        loop = asyncio.get_running_loop()
+        revision, entries = self._revisions_seen[node], self.views[node]
+        loop.call_later(NOTICE_DEADLINE_S, self._record_overdue_notice, node, revision, entries)
+
     async def _wait_for_turn(self) -> bool:
         """Wait until the calls that came before are served; False where that takes too long.
 
@@ -138,6 +182,7 @@
 
     def record_view(self, node: int) -> None:
         """Note that the node has received its view of the list."""
+        self._first_views[node] = self._first_views[node] or self.views[node]
         self._record_notified(node, self._revisions_seen[node], self.views[node])
 
     def _record_notified(self, node: int, revision: int, entries: ListEntries) -> None:
@@ -149,6 +194,26 @@
         self._notified_endpoints[node] |= entries.keys()
         self._revisions_notified[node] = revision
 
+    def _with_invalid_entry(self, node: int) -> list[ListEntry]:
+        """The entries that the node sees, one of them with a value of a wrong form."""
+        targets = list(self.views[node].values())
+        position = int(self._delay_stream.integers(len(targets)))
+        targets[position] = targets[position] | {"capacity_hint": "many"}
+        return targets
+
+    async def _send(self, writer: asyncio.StreamWriter, document: dict[str, object], pieces: int = 1) -> None:
+        body = json.dumps(document).encode()
+        answer = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s" % (
+            len(body),
+            body,
+        )
+        size = -(-len(answer) // pieces)
+        for position in range(0, len(answer), size):
+            writer.write(answer[position : position + size])
+            await writer.drain()
+            if pieces > 1:
+                await asyncio.sleep(PIECE_INTERVAL_S)
+
     async def _wait_for_change(self, node: int, revision: int, timeout_s: float) -> None:
         """Wait until the node's view is newer than the revision, at most for the timeout."""
         with contextlib.suppress(TimeoutError):
--- a/rig/fleet/model_endpoint.py
+++ b/rig/fleet/model_endpoint.py
@@ -41,6 +41,7 @@
     """A connection that was accepted, with its load in cores."""
 
     writer: asyncio.StreamWriter
+    request_id: int
     group: str
     load: float
 
@@ -120,14 +121,20 @@
         if self.is_overloaded and self._connections:
             heaviest = max(self._connections, key=lambda connection: connection.load)
             self._connections.discard(heaviest)
+            self._record_end(heaviest)
             reset_connection(heaviest.writer)
 
+    def _record_end(self, connection: ModelConnection) -> None:
+        """Note that it is the endpoint that ends a connection."""
+        self.observations.ended_by_endpoint.add(connection.request_id)
+
     def drain(self) -> None:
         """Accept no more; where the scenario says so, ask all clients to migrate."""
         self.state = "DRAINING"
         if not self.scenario.endpoints.migrates_when_draining:
             return
         for connection in list(self._connections):
+            self._record_end(connection)
             with contextlib.suppress(OSError):
                 connection.writer.write(b"MOVE\r\n")
                 connection.writer.close()
@@ -137,6 +144,7 @@
         self.state = "DELETED"
         self.listeners.close()
         for connection in list(self._connections):
+            self._record_end(connection)
             reset_connection(connection.writer)
         self._connections.clear()
 
@@ -173,7 +181,7 @@
             writer.write(b"BUSY\r\n")
             return
         load = float(self._load_stream.exponential(self.scenario.traffic.mean_load))
-        connection = ModelConnection(writer, request.values.get("g", ""), load)
+        connection = ModelConnection(writer, request.id, request.values.get("g", ""), load)
         writer.write(b"UP %s\r\nLOAD %.1f\r\n" % (self.uid.encode(), load * MICROCORES))
         await self._serve_connection(connection, reader)
 
--- a/rig/fleet/node_process.py
+++ b/rig/fleet/node_process.py
@@ -59,11 +59,30 @@
         self.endpoint_links[uid] = link
         await link.open()
 
-    async def start(self) -> None:
-        """Start a process and wait until it is ready; raises TimeoutError."""
+    def write_config(self) -> Path:
+        """Write the proxy file with the list as the node sees it now."""
         config_path = self.folder / f"n{self.number}.json"
         config_path.write_text(json.dumps(self._config()))
-        self.discovery.record_view(self.number)
+        return config_path
+
+    async def move_discovery(self) -> LinkProxy:
+        """Have discovery reached at another address; returns the former link, which is the caller's."""
+        former_link = self.discovery_link
+        self.discovery_link = LinkProxy(former_link.target)
+        await self.discovery_link.open()
+        return former_link
+
+    async def start(self, has_old_file: bool = False) -> None:
+        """Start a process and wait until it is ready; raises TimeoutError.
+
+        With `has_old_file` it finds the list of the start before.
+        """
+        config_path = self.folder / f"n{self.number}.json"
+        if has_old_file:
+            self.discovery.record_new_process(self.number)
+        else:
+            self.write_config()
+            self.discovery.record_view(self.number)
         env = {
             **os.environ,
             "GW_CONFIG": str(config_path),
--- a/rig/fleet/node_settings.py
+++ b/rig/fleet/node_settings.py
@@ -32,7 +32,7 @@
         {
             "myNumber": node,
             "balancers": scenario.configured_nodes or scenario.nodes,
-            "discovery": "ask",
+            "discovery": scenario.lists,
             "zones": ["a"],
             "tenants": [{"name": "acme", "fraction": 1.0}],
             "services": [service],
--- a/rig/fleet/observations.py
+++ b/rig/fleet/observations.py
@@ -25,8 +25,12 @@
         self._began_s = time.monotonic()
 
 
+CLOSED_UNANSWERED = "ended"
+"""In place of a keyword: the connection was closed without an answer."""
+
+
 class Answer(NamedTuple):
-    """A line that a client received, by its keyword (`ended` where it received none), and when."""
+    """A line that a client received, by its keyword or CLOSED_UNANSWERED, and when."""
 
     at_s: float
     keyword: str
@@ -53,6 +57,11 @@
     deadline_s: float
     group: int
     answers: list[Answer] = field(default_factory=list)
+    left_s: float | None = None
+    """When the client left without having an answer."""
+
+    cut_off_s: float | None = None
+    """When its established connection ended though the client had not ended it and got no MOVE."""
 
 
 @dataclass(slots=True)
@@ -100,6 +109,12 @@
     node_outages: dict[int, list[Interval]] = field(default_factory=lambda: defaultdict(list))
     """When a node, or its link from clients, was at fault."""
 
+    faulty_endpoint_links: set[tuple[int, str]] = field(default_factory=set)
+    """Links of a node to an endpoint that had a fault at any time, by both."""
+
+    ended_by_endpoint: set[int] = field(default_factory=set)
+    """Requests whose established connection their endpoint ended."""
+
     served_s: float = 0.0
     """Seconds in which clients' messages came back in time."""
 
@@ -124,6 +139,12 @@
         elif state == "SERVING" and is_notified:
             notices[-1] = notices[-1]._replace(end_s=at_s)
 
+    def forget_notices(self, node: int, at_s: float) -> None:
+        """A new process of the node starts, which was notified of nothing yet."""
+        for (notified, _), notices in self.drain_notices.items():
+            if notified == node and notices and notices[-1].end_s == math.inf:
+                notices[-1] = notices[-1]._replace(end_s=at_s)
+
     def was_cut(self, attempt: Attempt, until_s: float) -> bool:
         """Whether the endpoint may not have learned that the node cancelled the attempt."""
         cuts = self.link_cuts.get((attempt.node, attempt.endpoint), ())
--- a/rig/fleet/scenario.py
+++ b/rig/fleet/scenario.py
@@ -76,6 +76,12 @@
     """Part of the clients that come through the first node whatever the others get."""
 
     deadline_s: Seconds = 2.0
+    leaving_share: Share = 0.0
+    """Part of the clients that leave before they have an answer, at a random moment."""
+
+    idle_clients: Annotated[int, Meta(ge=0, le=1000)] = 0
+    """Connections without a request that each node holds for the whole run."""
+
     max_retries: int = 2
     """How often a client retries or returns after a rejection or a broken connection."""
 
@@ -84,6 +90,9 @@
     "kill",
     "pause",
     "restart",
+    "terminate",
+    "reload",
+    "move-discovery",
     "drain",
     "replace",
     "crash",
@@ -95,9 +104,18 @@
     "refuse",
     "unresponsive",
     "slow",
+    "discovery-late",
+    "discovery-unavailable",
+    "discovery-older",
+    "discovery-invalid-entry",
+    "discovery-in-pieces",
 ]
 
 
+NODE_FAULTS = frozenset({"kill", "pause", "restart", "terminate", "reload", "move-discovery"})
+"""Faults of a node's process, which have to name the nodes."""
+
+
 class Fault(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """One fault; `nodes` and `endpoints` are numbers from 0.
 
@@ -114,7 +132,10 @@
     """How long it lasts; 0 is to the end of the run."""
 
     delay_s: Seconds = 0.0
-    """Added delay, for `delay` and `slow`."""
+    """Added delay, for `delay`, `slow` and `discovery-late`."""
+
+    count: Count = 1
+    """How often in a row, for `reload`, `move-discovery` and `terminate`."""
 
 
 class Scenario(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -128,6 +149,9 @@
 
     endpoints: Endpoints = Endpoints()
     discovery: DiscoveryCapacity = DiscoveryCapacity()
+    lists: Literal["ask", "push"] = "ask"
+    """Whether nodes poll discovery or are pushed the list, as their settings say."""
+
     traffic: Traffic = Traffic()
     faults: tuple[Fault, ...] = ()
     failure_detection_s: Seconds = 0.3
@@ -162,7 +186,7 @@
     unknown += [number for number in fault.endpoints if not 0 <= number < scenario.endpoints.count]
     if unknown:
         raise ScenarioError(f"there is no number {unknown[0]} - at {path}")
-    if fault.kind in ("kill", "pause", "restart") and not fault.nodes:
+    if fault.kind in NODE_FAULTS and not fault.nodes:
         raise ScenarioError(f"a {fault.kind} needs nodes - at {path}")
     if fault.kind in ("drain", "replace", "crash", "slow") and not fault.endpoints:
         raise ScenarioError(f"a {fault.kind} needs endpoints - at {path}")
--- a/tests/test_fleet_invariants.py
+++ b/tests/test_fleet_invariants.py
@@ -50,6 +50,24 @@
     return observations
 
 
+def after_leave(attempt_s: float) -> Observations:
+    observations = with_attempts(Attempt(1, 0, "s", attempt_s, attempt_s))
+    observations.requests[1].left_s = 1.4
+    return observations
+
+
+def cut_off_connection() -> Observations:
+    observations = with_attempts(Attempt(1, 0, "s", 1.05, 1.1))
+    observations.requests[1].cut_off_s = 2.0
+    return observations
+
+
+def cut_off_by_endpoint() -> Observations:
+    observations = cut_off_connection()
+    observations.ended_by_endpoint.add(1)
+    return observations
+
+
 def with_link_cut(observations: Observations) -> Observations:
     observations.link_cuts[0, "a"].append(FAULT_TIME)
     return observations
@@ -66,11 +84,17 @@
         (one_request(Answer(1.1, "UP")), set()),
         (one_request(), {"unanswered"}),
         (one_request(Answer(3.9, "BUSY")), {"unanswered"}),
+        (one_request(Answer(1.1, "ended")), {"unanswered"}),
         (with_node_outage(one_request()), set()),
         (one_request(Answer(1.1, "BUSY"), Answer(1.2, "UP")), {"answered-twice"}),
         (with_attempts(Attempt(1, 0, "a", 1.0, 1.5), Attempt(1, 0, "b", 1.4, 1.6)), set()),
         (with_attempts(Attempt(1, 0, "a", 1.0, None), Attempt(1, 0, "b", 1.4, 1.6)), {"parallel-attempts"}),
         (with_link_cut(with_attempts(Attempt(1, 0, "a", 1.0, None), Attempt(1, 0, "b", 1.4, 1.6))), set()),
+        (after_leave(1.5), set()),
+        (after_leave(2.0), {"sent-after-leave"}),
+        (cut_off_connection(), {"cut-off"}),
+        (with_node_outage(cut_off_connection()), set()),
+        (cut_off_by_endpoint(), set()),
         (after_drain_notice(5.4), set()),
         (after_drain_notice(5.9), {"sent-to-draining"}),
         (warming_up(10), set()),
