Discovery: a full list with an invalid entry still removes what it does not name

Cause: a full list with an invalid entry counts as changes only, as the entry that could not be parsed might be that of an endpoint it does not name; but the entries all named theirs. Class: partial information is dropped, also where it forbids something. Change: where each entry names its endpoint, what is not named is removed. Evidence: test_removal_is_seen_in_a_full_list_with_an_invalid_entry times out without it and passes with it.

--- a/linnetshift/discovery/endpoint_list.py
+++ b/linnetshift/discovery/endpoint_list.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from linnetshift.config.names import UNKNOWN_NUMBER, NameRegistry
@@ -51,6 +52,14 @@
     event: EndpointList
     addresses: dict[bytes, Address]  # of all entries but those that could be read only in part
     invalid_entries: int  # how many were left out, or read only in part
+    named: frozenset[bytes] | None = None  # all endpoints of a full list, where each entry names its own
+
+    def with_removals(self, listed: Iterable[bytes]) -> EndpointListUpdate:
+        """Changes that also remove what was listed and a full list with invalid entries does not name."""
+        if self.named is None or self.event.form != ListForm.DELTA:
+            return self
+        removed = tuple(_unreadable_entry(e, EndpointState.REMOVED) for e in listed if e not in self.named)
+        return self._replace(event=self.event._replace(entries=self.event.entries + removed))
 
     def only_unavailable(self, version: int) -> EndpointListUpdate:
         """Only the endpoints that are not ready, as changes to the list of that version."""
@@ -63,7 +72,7 @@
 
     Raises EndpointListError where the document is no list. An invalid entry is logged, and left out unless it
     names an endpoint and does not have it ready. An endpoint that a full list with such an entry does not
-    name may be the one that could not be parsed, so the list then counts as changes only.
+    name may be the one that could not be parsed, so the list then counts as changes only: see `named`.
     """
     if not isinstance(document, dict) or not isinstance(document.get(TARGETS_KEY), list):
         raise EndpointListError("no list of targets")
@@ -86,7 +95,16 @@
         log.info("endpoint-entries-invalid", count=len(errors), first=errors[0][:MAX_LOGGED_CHARS])
     is_full = bool(document.get(IS_FULL_KEY)) and not errors
     form = _list_form(is_cached, is_full)
-    return EndpointListUpdate(EndpointList(form, version, tuple(entries)), addresses, len(errors))
+    named = _named_endpoints(document[TARGETS_KEY]) if document.get(IS_FULL_KEY) else None
+    return EndpointListUpdate(EndpointList(form, version, tuple(entries)), addresses, len(errors), named)
+
+
+def _named_endpoints(targets: list[Any]) -> frozenset[bytes] | None:
+    """The endpoints that the entries are about; None where one names none."""
+    ids = [target.get(ENDPOINT_ID_KEY) if isinstance(target, dict) else None for target in targets]
+    if not all(isinstance(endpoint_id, str) for endpoint_id in ids):
+        return None
+    return frozenset(str(endpoint_id).encode() for endpoint_id in ids)
 
 
 def _list_form(is_cached: bool, is_full: bool) -> ListForm:
@@ -125,18 +143,20 @@
     state = STATES_BY_WIRE_NAME.get(wire_state) if isinstance(wire_state, str) else None
     if state == EndpointState.READY:
         return []
-    endpoint = target[ENDPOINT_ID_KEY].encode()
-    return [
-        EndpointEntry(
-            endpoint,
-            zone=UNKNOWN_NUMBER,
-            kind=UNKNOWN_NUMBER,
-            cell=0,
-            state=state or EndpointState.DRAINING,
-            weight=DEFAULT_WEIGHT,
-            started_ns=0,
-        )
-    ]
+    return [_unreadable_entry(target[ENDPOINT_ID_KEY].encode(), state or EndpointState.DRAINING)]
+
+
+def _unreadable_entry(endpoint: bytes, state: EndpointState) -> EndpointEntry:
+    """The entry of an endpoint of which nothing but its state is known."""
+    return EndpointEntry(
+        endpoint,
+        zone=UNKNOWN_NUMBER,
+        kind=UNKNOWN_NUMBER,
+        cell=0,
+        state=state,
+        weight=DEFAULT_WEIGHT,
+        started_ns=0,
+    )
 
 
 def serialize_entry(entry: EndpointEntry, address: Address, names: NameRegistry) -> dict[str, Any]:
--- a/linnetshift/discovery/stale_list.py
+++ b/linnetshift/discovery/stale_list.py
@@ -4,7 +4,7 @@
 
 from linnetshift.discovery.endpoint_list import EndpointListError
 from linnetshift.event_loop.timers import S
-from linnetshift.routing.events import EndpointList, ListForm
+from linnetshift.routing.events import EndpointList, EndpointState, ListForm
 
 # How long answers have to contradict what is known before they are believed.
 CONFIRMATION_NS = 30 * S
@@ -21,7 +21,7 @@
     def __init__(self, known: EndpointList) -> None:
         """`known` is the list in use at the start."""
         self.version = known.version
-        self.has_endpoints = bool(known.entries)
+        self.listed = {entry.endpoint for entry in known.entries}
         self.contradicted_since_ns = 0  # 0: not contradicted
 
     def check(self, event: EndpointList, is_from_watch: bool, now_ns: int) -> None:
@@ -31,7 +31,7 @@
         late.
         """
         is_older = event.version < self.version
-        is_emptied = self.has_endpoints and event.form == ListForm.FULL and not event.entries
+        is_emptied = bool(self.listed) and event.form == ListForm.FULL and not event.entries
         if not is_older and not is_emptied:
             self.contradicted_since_ns = 0
             return
@@ -47,4 +47,9 @@
         """Record that the list is in use from now on."""
         self.version = event.version
         if event.form == ListForm.FULL:
-            self.has_endpoints = bool(event.entries)
+            self.listed = set()
+        for entry in event.entries:
+            if entry.state == EndpointState.REMOVED:
+                self.listed.discard(entry.endpoint)
+            else:
+                self.listed.add(entry.endpoint)
--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -273,7 +273,7 @@
         if document is None:
             return None
         try:
-            return parse_endpoint_list(document, self.names)
+            return parse_endpoint_list(document, self.names).with_removals(self.stale_lists.listed)
         except EndpointListError as error:
             log.info("discovery-response-ignored", error=str(error)[:MAX_LOGGED_CHARS])
             return None
