Main: signals in the last moment of a process do not change its exit status

Cause: at its end Python gives signals that are caught their default actions back, which end the process. Class: a handler that is gone before its signal. Change: once the loop has ended they are ignored. Evidence: the test's two cases end with -1 and -15 without it.

--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -9,9 +9,12 @@
 import argparse
 import sys
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from pathlib import Path
 from tempfile import mkdtemp
 
+import msgspec
+
 ROOT = Path(__file__).parent.parent
 sys.path[:0] = [str(ROOT)]
 
@@ -19,9 +22,9 @@
 from rig.fleet.run import run_scenario  # noqa: E402
 
 
-def play(seed: int) -> tuple[int, str]:
+def play(seed: int, failing_calls_per_mille: int) -> tuple[int, str]:
     """Play a seed; returns it with a text of what was broken, empty where nothing was."""
-    scenario = draw_scenario(seed)
+    scenario = msgspec.structs.replace(draw_scenario(seed), failing_calls_per_mille=failing_calls_per_mille)
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
     report = run_scenario(scenario, folder)
     if not report.violations and not report.crashes:
@@ -39,10 +42,12 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--parallel", type=int, default=4)
+    parser.add_argument("--failing-calls", type=int, default=0, help="system calls in a thousand that fail")
     options = parser.parse_args()
+    play_seed = partial(play, failing_calls_per_mille=options.failing_calls)
     failed = []
     with ProcessPoolExecutor(options.parallel) as pool:
-        for seed, text in pool.map(play, range(options.first, options.first + options.seeds)):
+        for seed, text in pool.map(play_seed, range(options.first, options.first + options.seeds)):
             if text:
                 failed.append(seed)
                 print(text, flush=True)
--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -15,6 +15,7 @@
 from linnetshift.proxy import Proxy
 
 EXIT_UNUSABLE_CONFIGURATION = 2
+CAUGHT_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def catch_signals() -> int:
@@ -26,11 +27,17 @@
     # A pipe and not a pair of sockets: where the platform redirects all sockets, only those of IP work.
     reader, writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
     signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    for number in CAUGHT_SIGNALS:
         signal.signal(number, lambda *_: None)
     return reader
 
 
+def ignore_signals() -> None:
+    """Ignore the signals from now on: at its end Python gives those that are caught their default actions."""
+    for number in CAUGHT_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def start_proxy() -> Proxy:
     """The proxy that the environment describes, which takes over from a running process where there is one.
 
@@ -65,6 +72,7 @@
     )
     proxy.log_settings()
     proxy.loop.run()
+    ignore_signals()
     proxy.hot_restart.end()
     return 0
 
--- a/rig/fleet/node_process.py
+++ b/rig/fleet/node_process.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import subprocess
 import sys
 from pathlib import Path
 
@@ -26,6 +27,19 @@
 """Time between two tries whether a process is ready, in seconds."""
 
 
+FAILING_CALLS_SOURCE = ROOT / "rig" / "shims" / "failing_calls.c"
+"""Library whose system calls fail now and then."""
+
+
+def build_failing_calls(folder: Path) -> Path:
+    """Compile the library with failing system calls into the folder, unless it is there."""
+    library = folder / "failing_calls.so"
+    if not library.exists():
+        command = ["cc", "-O2", "-shared", "-fPIC", "-o", str(library), str(FAILING_CALLS_SOURCE), "-ldl"]
+        subprocess.run(command, check=True)
+    return library
+
+
 class NodeProcess:
     """One node: its links, which last for the run, and its process, which may be started again."""
 
@@ -89,6 +103,12 @@
             "LINNETSHIFT_BROKER": os.devnull,
             "TMPDIR": str(self.folder),
         }
+        if self.scenario.failing_calls_per_mille:
+            env |= {
+                "LD_PRELOAD": str(build_failing_calls(self.folder)),
+                "FAILING_CALLS_SEED": f"{self.scenario.seed * 1000 + self.number}",
+                "FAILING_CALLS_PER_MILLE": str(self.scenario.failing_calls_per_mille),
+            }
         with open(self.folder / f"n{self.number}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "linnetshift", cwd=ROOT, env=env, stderr=log
--- a/rig/fleet/scenario.py
+++ b/rig/fleet/scenario.py
@@ -154,6 +154,9 @@
 
     traffic: Traffic = Traffic()
     faults: tuple[Fault, ...] = ()
+    failing_calls_per_mille: Annotated[int, Meta(ge=0, le=1000)] = 0
+    """How many of a thousand system calls on sockets fail in the nodes."""
+
     failure_detection_s: Seconds = 0.3
     """How long clients are still sent to a node that has ended."""
 
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import signal
+import time
 from dataclasses import dataclass, field
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from conftest import MS, S, effect, raw_settings
+from proxy_harness import started_proxy
 
 from linnetshift.event_loop.loop import Loop
 from linnetshift.lifecycle.graceful_shutdown import ChannelMigrator, GracefulShutdown
@@ -190,3 +194,16 @@
     loop.call_later(20 * S, loop.stop)
     loop.run()
     assert len(recorder.requests) == 97
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signals_up_to_the_end_of_the_process_leave_its_exit_status(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    # The interpreter restores the default actions before it ends, and the next signal ended the process.
+    with started_proxy(tmp_path) as running:
+        running.process.send_signal(signal.SIGTERM)
+        while running.process.poll() is None:
+            running.process.send_signal(number)
+            time.sleep(0.001)
+        assert running.process.returncode == 0
