--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -16,6 +16,7 @@
 from linnetshift.discovery.http_call import CallEnded, DiscoveryCall
 from linnetshift.discovery.list_lease import ListLease
 from linnetshift.discovery.stale_list import StaleListFilter
+from linnetshift.discovery.watch_timeouts import WatchTimeouts
 from linnetshift.event_loop.actor import Actor, ActorCoroutine
 from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.loop import Loop
@@ -23,14 +24,9 @@
 from linnetshift.observability import log
 from linnetshift.observability.log import MAX_LOGGED_CHARS
 from linnetshift.routing.events import EndpointList, ListForm
-from linnetshift.routing.settings import Settings
 
 LIST_PATH = "/catalog/members"
 
-# The timeouts for an agent on this machine follow from the drain grace period, between these bounds: even an
-# agent needs some time to answer, and a very long grace period must not hide that it fell silent.
-MIN_GRACE_NS = 100 * MS
-MAX_GRACE_NS = 4 * S
 # Pause before an agent on this machine is called again after it refused or failed a call.
 REOPEN_DELAY_NS = 50 * MS
 # How long the watch after a failed or silent one waits for a change: its answer soon shows that all is well.
@@ -57,31 +53,6 @@
     REOPEN = "reopen"  # open the watch again, after an agent refused or failed a call
 
 
-class WatchTimeouts(NamedTuple):
-    """How long discovery is waited for, as its changes must be known here soon after it falls silent."""
-
-    is_pushed: bool  # lists are pushed to an agent on this machine, which answers at once and at no cost
-    wait_ms: int  # how long a watch may stay without a change; discovery answers by then
-    margin_ns: int  # and how much longer its answer may take
-    full_list_ns: int  # for a call for the full list
-
-    @classmethod
-    def of(cls, settings: Settings) -> WatchTimeouts:
-        """The timeouts for how these settings have the lists delivered.
-
-        The changes of a shared discovery must be known here 2 s past the wait, or after 6 s of silence where
-        that is later. One call there costs as much as tens of request lines, so watches are long. The changes
-        of an agent count from the moment it has them, watch or no watch, so a silent agent is called again
-        while the drain grace period still lasts.
-        """
-        if settings.must_poll:
-            return cls(is_pushed=False, wait_ms=10_000, margin_ns=750 * MS, full_list_ns=2200 * MS)
-        grace_ns = max(MIN_GRACE_NS, min(settings.drain_grace_ns, MAX_GRACE_NS))
-        return cls(
-            is_pushed=True, wait_ms=grace_ns // 2 // MS, margin_ns=grace_ns // 4, full_list_ns=grace_ns // 2
-        )
-
-
 class SetWatch(NamedTuple):
     """Open the watch unless it is open, or ignore its answer."""
 
--- a/linnetshift/lifecycle/reload.py
+++ b/linnetshift/lifecycle/reload.py
@@ -14,7 +14,8 @@
 from linnetshift.config.names import NameRegistry
 from linnetshift.config.proxy_file import ProxyConfig
 from linnetshift.discovery.endpoint_list import EndpointListUpdate
-from linnetshift.discovery.watch import Discovery, WatchTimeouts
+from linnetshift.discovery.watch import Discovery
+from linnetshift.discovery.watch_timeouts import WatchTimeouts
 from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.loop import Loop
 from linnetshift.event_loop.timers import S
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -19,8 +19,8 @@
     MAX_FULL_LIST_CALL_NS,
     MAX_TIMEOUT_DOUBLINGS,
     WAIT_AFTER_FAILURE_MS,
-    WatchTimeouts,
 )
+from linnetshift.discovery.watch_timeouts import WatchTimeouts
 from linnetshift.routing.actions import SetTimer
 from linnetshift.routing.balancer import Balancer
 from linnetshift.routing.events import EndpointList, ListForm
