Rig: its own delay is allowed for where an answer is late, too

Trace: the proxies read their lines at 44.52 to 44.61 and answered, or had an endpoint accept, within 0.5 s (deadline 0.5 s); the clients of the rig sent 0.24 s before that and read after 45.29, while a build and three busy processes began beside seven plays. Change: what the rig's loop was late by between a request and its answer is added to the time for the answer; a request without any answer is a violation as before.

--- a/rig/fleet/invariants.py
+++ b/rig/fleet/invariants.py
@@ -59,11 +59,16 @@
         return [violation for rule in rules for violation in rule()]
 
     def unanswered(self) -> Iterator[Violation]:
-        """Every request gets a final answer by its deadline, unless its node had an outage."""
+        """Every request gets a final answer by its deadline, unless its node had an outage.
+
+        What the rig itself took longer to pass on the request and the answer does not count.
+        """
         for request in self.observations.requests.values():
             limit_s = request.sent_s + request.deadline_s + ANSWER_SLACK_S
             is_answered = any(
-                answer.at_s <= limit_s and answer.keyword != CLOSED_UNANSWERED for answer in request.answers
+                answer.at_s <= limit_s + self.observations.rig_delay_s(request.sent_s, answer.at_s)
+                and answer.keyword != CLOSED_UNANSWERED
+                for answer in request.answers
             )
             since_s = request.sent_s - OUTAGE_SLACK_S
             if request.left_s is not None and request.left_s < limit_s:
--- a/tests/test_fleet_invariants.py
+++ b/tests/test_fleet_invariants.py
@@ -13,6 +13,7 @@
     Answer,
     Attempt,
     ClientRequest,
+    Delay,
     EndpointStart,
     Interval,
     Observations,
@@ -68,6 +69,11 @@
     return observations
 
 
+def with_rig_delay(observations: Observations, delay: Delay) -> Observations:
+    observations.rig_delays.append(delay)
+    return observations
+
+
 def with_link_cut(observations: Observations) -> Observations:
     observations.link_cuts[0, "a"].append(FAULT_TIME)
     return observations
@@ -85,6 +91,10 @@
         (one_request(), {"unanswered"}),
         (one_request(Answer(3.9, "BUSY")), {"unanswered"}),
         (one_request(Answer(1.1, "ended")), {"unanswered"}),
+        (with_rig_delay(one_request(Answer(3.9, "BUSY")), Delay(3.8, 0.5)), set()),
+        (with_rig_delay(one_request(Answer(3.9, "BUSY")), Delay(3.8, 0.3)), {"unanswered"}),
+        (with_rig_delay(one_request(Answer(3.9, "BUSY")), Delay(0.9, 0.5)), {"unanswered"}),
+        (with_rig_delay(one_request(), Delay(3.8, 0.5)), {"unanswered"}),
         (with_node_outage(one_request()), set()),
         (one_request(Answer(1.1, "BUSY"), Answer(1.2, "UP")), {"answered-twice"}),
         (with_attempts(Attempt(1, 0, "a", 1.0, 1.5), Attempt(1, 0, "b", 1.4, 1.6)), set()),
