Tests: the decision loop's stand-in and the hostile lists know what the program now does

The stand-in broker lacked review_unconfirmed_endpoints; its test looked at a position that now holds another call. A mutated list may now have its endpoint drain, and the list is fetched again sooner, so a call to discovery no longer shows that the right list has arrived: the request came 0.36 s before it and was rejected after 0.5 s, as the log shows. Change: the stand-in has the method, and the test counts its calls too; the other waits for the right list itself. Both check as much as before.

--- a/tests/test_decision_loop.py
+++ b/tests/test_decision_loop.py
@@ -28,6 +28,9 @@
     def review_unresponsive_endpoints(self) -> None:
         self.calls.append("review_unresponsive_endpoints")
 
+    def review_unconfirmed_endpoints(self) -> None:
+        self.calls.append("review_unconfirmed_endpoints")
+
     def review_latency(self) -> None:
         self.calls.append("review_latency")
 
@@ -82,5 +85,7 @@
             decision_loop.process_mailbox()
     assert broker.calls.count("review_unresponsive_endpoints") == 2 * REVIEWS_PER_LATENCY_REVIEW
     assert broker.calls.count("review_latency") == 2
-    assert broker.calls[REVIEWS_PER_LATENCY_REVIEW] == "review_latency"
+    assert broker.calls.count("review_unconfirmed_endpoints") == 2 * REVIEWS_PER_LATENCY_REVIEW
+    # Each of the reviews before it calls both of the others.
+    assert broker.calls[2 * REVIEWS_PER_LATENCY_REVIEW] == "review_latency"
     assert [record.getMessage() for record in caplog.records] == 2 * ["deployment-fact-observed"]
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -70,7 +70,8 @@
         run.send_lists(answers, lambda: running.discovery.calls.get(timeout=20))
     running.discovery.rev = 1 << 70  # newer than the version of any mutated list
     running.discovery.change()
-    running.discovery.calls.get(timeout=20)
+    # Mutated lists may have the endpoint draining, and be fetched again: an earlier call says nothing yet.
+    running.logged(f"event=endpoint-list-received form=full rev={running.discovery.rev} entries=1 draining=0")
     assert running.establish()
 
 
