Tests and rig: a failure is reported with the proxies' logs

A violation in the fleet rig is reported with the answers, attempts, the rig's own delay and its node's log lines of that request; the soak prints the same. No check is changed.

--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -31,7 +31,7 @@
         return seed, ""
     lines = [f"seed {seed}: {scenario.nodes} nodes, {scenario.lists}, logs in {folder}"]
     lines += [f"  {fault.at_s:6.2f} {fault}" for fault in scenario.faults]
-    lines += [f"  BROKEN {violation.rule}: {violation.detail}" for violation in report.violations]
+    lines += [f"  BROKEN {line}" for line in report.explain().splitlines()]
     lines += [f"  CRASHED {crash}" for crash in report.crashes]
     return seed, "\n".join(lines)
 
--- a/rig/fleet/client_load.py
+++ b/rig/fleet/client_load.py
@@ -124,7 +124,9 @@
     async def _connect(self, client: Client, node: NodeProcess) -> None:
         """Send a request to the node and, where it is accepted, messages."""
         deadline_s = self.traffic.deadline_s
-        request = ClientRequest(self._next_request_id, node.number, self.clock(), deadline_s, client.group)
+        request = ClientRequest(
+            self._next_request_id, node.number, self.clock(), deadline_s, client.group, key=client.key
+        )
         self._next_request_id += 1
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", node.client_link.port)
--- a/rig/fleet/observations.py
+++ b/rig/fleet/observations.py
@@ -64,6 +64,7 @@
     deadline_s: float
     group: int
     answers: list[Answer] = field(default_factory=list)
+    key: int = 0
     left_s: float | None = None
     """When the client left without having an answer."""
 
--- a/rig/fleet/run.py
+++ b/rig/fleet/run.py
@@ -13,6 +13,7 @@
 from rig.fleet.node_settings import DRAIN_GRACE_S
 from rig.fleet.observations import Delay, Observations, RunClock
 from rig.fleet.scenario import Scenario
+from rig.fleet.violation_logs import explain
 
 DELAY_PROBE_S = 0.01
 """Time between two looks at how late the rig's loop is, in seconds."""
@@ -30,6 +31,13 @@
     crashes: list[str]
     """Nodes that ended by themselves, with their exit status."""
 
+    folder: Path
+    """Where the nodes' logs are."""
+
+    def explain(self) -> str:
+        """The violations with what the nodes logged of the requests concerned."""
+        return explain(self.violations, self.observations, self.folder)
+
     @property
     def served_share(self) -> float:
         """Seconds in which messages came back in time, as a part of all that clients wanted."""
@@ -52,7 +60,7 @@
     observations = deployment.observations
     violations = InvariantChecker(observations, DRAIN_GRACE_S).violations()
     crashes = [crash for node in deployment.nodes for crash in node.crashes]
-    return Report(violations, observations, crashes)
+    return Report(violations, observations, crashes, folder)
 
 
 async def _record_delays(observations: Observations, clock: RunClock) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 from typing import Any
 
+import pytest
+from failure_logs import report_sections
 from hypothesis import settings
 
 from linnetshift.routing.actions import Action, Send
@@ -25,6 +28,17 @@
 settings.load_profile("same")
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item,
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Add what the processes of a failing test logged to its report."""
+    report = yield
+    if report.failed:
+        report.sections += report_sections(item.nodeid)
+    return report
+
+
 def raw_settings(**changes: Any) -> dict[str, Any]:
     """The settings object of a proxy file, with changes to the base settings."""
     return changed_settings(changes)
--- a/tests/emulated_peers.py
+++ b/tests/emulated_peers.py
@@ -16,6 +16,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from connections import RESET, WAIT_S, Ending, PeerConnection
+from failure_logs import timestamp
 
 
 class EmulatedEndpoint:
@@ -28,10 +29,19 @@
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.sock.settimeout(WAIT_S)
         self.port = self.sock.getsockname()[1]
+        self.events: list[str] = []
+        """What it did and when, for the report of a test that fails."""
+
+    def record(self, event: str) -> None:
+        """Note what it does now."""
+        self.events.append(f"ts={timestamp()} endpoint={self.uid} {event}")
 
     def accept(self) -> PeerConnection:
         """Accept the next connection."""
-        return PeerConnection(self.sock.accept()[0])
+        self.record("waits for a connection")
+        sock, address = self.sock.accept()
+        self.record(f"accepted a connection from port {address[1]}")
+        return PeerConnection(sock)
 
     def stop_listening(self) -> None:
         """Have new connections refused, as after the end of the process."""
@@ -65,7 +75,9 @@
         """Accept one connection, read its first line and answer UP."""
         conn = self.accept()
         conn.first_line = conn.line()
+        self.record(f"read {conn.first_line!r}")
         conn.send(b"UP r1\r\n")
+        self.record("answered UP")
         return conn
 
     def answer_attempt(self, reply: bytes, ending: Ending | None) -> PeerConnection:
--- a/tests/running_proxy.py
+++ b/tests/running_proxy.py
@@ -20,6 +20,7 @@
 
 from connections import WAIT_S, PeerConnection
 from emulated_peers import DiscoveryServer, EmulatedEndpoint
+from failure_logs import running_proxies
 
 OPEN_LINE = b"OPEN %016x 7f3a9c21e0b4d655 c=feed,t=acme,d=%d\r\n"
 """Request line, for an id and a deadline in milliseconds."""
@@ -55,12 +56,17 @@
         self.passed_lines: list[str] = []
         """Log lines that `logged` has passed."""
 
+        self.log_lines: list[str] = []
+        """All log lines so far."""
+
+        running_proxies.add(self)
         threading.Thread(target=self.read, daemon=True).start()
 
     def read(self) -> None:
         """Queue the program's log lines until it ends."""
         assert self.process.stderr is not None
         for line in self.process.stderr:
+            self.log_lines.append(line)
             self.lines.put(line)
 
     def logged(self, pattern: str) -> str:
--- a/tests/test_crowded_discovery.py
+++ b/tests/test_crowded_discovery.py
@@ -35,7 +35,7 @@
 
 def test_endpoint_that_ended_gets_no_request_while_its_return_is_unconfirmed(report: Report) -> None:
     assert report.crashes == []
-    assert report.violations == []
+    assert report.violations == [], report.explain()
 
 
 def test_every_process_gets_the_list_of_a_crowded_discovery(report: Report) -> None:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -48,7 +48,7 @@
 @pytest.mark.parametrize("seed", [2, 7, 19])
 def test_rules_hold_under_the_faults_of_a_seed(tmp_path: Path, seed: int) -> None:
     report = run_scenario(draw_scenario(seed), tmp_path)
-    assert report.violations == []
+    assert report.violations == [], report.explain()
     assert report.crashes == []
 
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -98,7 +98,7 @@
 
 
 def assert_invariants_hold(report: Report) -> None:
-    assert report.violations == []
+    assert report.violations == [], report.explain()
     assert report.crashes == []
     requests = report.observations.requests.values()
     assert len(requests) > 30
