Attempts: one that the proxy cancels is no sign that its endpoint has ended

AttemptTracker.cancel reported through handle_ended, which takes the outcome "cancelled" for the MOVE of a draining endpoint and marks the endpoint as unavailable: in an outage of discovery it would be suspended.

handle_ended, which connections report to, keeps that; cancel now goes to the part after it.

test_endpoint_of_a_cancelled_attempt_is_not_taken_for_one_that_has_ended failed before ("assert not True") and passes now.

--- a/linnetshift/broker/attempts.py
+++ b/linnetshift/broker/attempts.py
@@ -167,9 +167,14 @@
         request = attempt.request
         if request.attempt is not attempt:
             return
-        request.detach_connection()
         if outcome == Outcome.CANCELLED:
             self.endpoints.record_unavailable(attempt.endpoint)
+        self._end(attempt, outcome, reset)
+
+    def _end(self, attempt: Attempt, outcome: Outcome, reset: bool) -> None:
+        """End the request of an established attempt; report another one, so that it may be retried."""
+        request = attempt.request
+        request.detach_connection()
         if outcome not in NEVER_RAN and not request.possibly_executed_at:
             request.possibly_executed_at = attempt.began
         if attempt.is_established:
@@ -214,7 +219,7 @@
             return
         if attempt.upstream is not None:
             attempt.upstream.abandon()
-        self.handle_ended(attempt, Outcome.CANCELLED, reset=False)
+        self._end(attempt, Outcome.CANCELLED, reset=False)
 
     def _report_ended(self, attempt: Attempt, outcome: int) -> None:
         self.inbox.post(attempt.to_ended_event(self.clock(), outcome))
--- a/tests/test_unconfirmed_endpoints.py
+++ b/tests/test_unconfirmed_endpoints.py
@@ -12,6 +12,7 @@
 
 from linnetshift.broker.unconfirmed_endpoints import UnconfirmedEndpoints
 from linnetshift.discovery.list_lease import ListLease
+from linnetshift.routing.actions import Cancel
 from linnetshift.routing.events import EndpointList, EndpointSuspension, ListForm, Outcome
 
 NO_CHANGES = EndpointList(ListForm.DELTA, 2, ())
@@ -121,3 +122,15 @@
         running.discovery.fail(False)
         running.discovery.change()
         running.logged(f"event=endpoint-resumed endpoint={best.uid}")
+
+
+def test_endpoint_of_a_cancelled_attempt_is_not_taken_for_one_that_has_ended() -> None:
+    surroundings = FakeSurroundings()
+    broker = surroundings.broker
+    request = surroundings.submit()
+    attempt = request.attempt
+    assert attempt is not None
+    broker.perform(Cancel(request.id, attempt.number))
+    surroundings.now += 7 * S
+    broker.review_unconfirmed_endpoints()
+    assert not broker.endpoint_views.unconfirmed.is_suspended(attempt.endpoint)
