Retries: an attempt that nothing else can replace goes on until its deadline

Callers got ERR at the deadline, or UP a second late, from the only endpoint that could serve them if it took longer than the latency objective; the endpoint did the work of one request up to four times.

Cause: retry_policy.attempt_timeout_ns gave an attempt one objective while a further one was allowed, without asking whether any other endpoint could take it.

Now such an attempt goes on, and each tick cancels it if another endpoint could serve the request by then, or if its endpoint accepted an attempt sent later (a lost answer). A half-open one counts as failed after the objective, so that others do not wait. Endpoints out of a repeat's scope are no alternative.

--- a/linnetshift/routing/balancer.py
+++ b/linnetshift/routing/balancer.py
@@ -180,7 +180,7 @@
         if event.attempt != pending.last_attempt or pending.endpoint is not endpoint:
             return
         self.requests.establish(pending, endpoint)
-        self.outlier_detection.record_established(endpoint, event.request_id)
+        self.outlier_detection.record_established(endpoint, event.request_id, event.elapsed_ns)
         self.migration.handle_established(endpoint)
         self.lifecycle.record_setup(pending, event.elapsed_ns, has_failed=False)
         if not pending.request.flags & (MID_FLOW | RETURNED | RETRY):
@@ -257,6 +257,7 @@
         if event.token == TICK_TOKEN:
             self._tick_timer.handle_fired()
             self.migration.handle_tick()
+            self.lifecycle.review_overrunning()
             self.lifecycle.retry_waiting()
         else:
             self._discovery_poller.handle_timer_fired(event.token)
--- a/linnetshift/routing/endpoint_selection.py
+++ b/linnetshift/routing/endpoint_selection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from linnetshift.routing.context import RoutingContext
 from linnetshift.routing.endpoints import NO_REQUEST, Endpoint, EndpointTable
@@ -11,7 +11,7 @@
 from linnetshift.routing.health_checks import HealthChecks
 from linnetshift.routing.pending_requests import PendingRequest, PendingRequests, key_hash
 from linnetshift.routing.ranking import EndpointRanking
-from linnetshift.routing.retry_policy import may_execute_on
+from linnetshift.routing.retry_policy import may_execute_on, may_repeat_on
 from linnetshift.routing.settings import RequestClass
 from linnetshift.routing.slow_start import SlowStart
 
@@ -93,6 +93,41 @@
             return True
         return self._health_checks.advises_against(endpoint)
 
+    def has_alternative(
+        self, pending: PendingRequest, sent_at: int, among: Iterable[Endpoint] | None = None
+    ) -> bool:
+        """Whether another attempt could do better than the latest one, which was sent at `sent_at`.
+
+        It could where the request may use an endpoint that it has not tried, or where any endpoint, the same
+        included, has accepted an attempt that was sent later: then it is the connection that fails. `among`
+        are the endpoints to look at, all by default.
+        """
+        first_endpoint = pending.possibly_executed_on or pending.endpoint
+        for endpoint in self._endpoints.values() if among is None else among:
+            if not endpoint.accepts_new:
+                continue
+            if not may_repeat_on(pending.request_class, first_endpoint, endpoint):
+                continue
+            if endpoint not in pending.endpoints_tried:
+                if self._may_be_chosen(endpoint, pending.request_class):
+                    return True
+            elif endpoint.answered_sent_at > sent_at and endpoint not in pending.endpoints_that_erred:
+                return True
+        return False
+
+    def possible_alternatives(self, request_class: RequestClass, since: int) -> list[Endpoint]:
+        """What `has_alternative` has to look at for requests of a class, sent at `since` or later."""
+        return [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if endpoint.accepts_new
+            and (endpoint.answered_sent_at > since or self._may_be_chosen(endpoint, request_class))
+        ]
+
+    def _may_be_chosen(self, endpoint: Endpoint, request_class: RequestClass) -> bool:
+        """Whether a ready endpoint may be chosen, as a last resort or with a slow-start token included."""
+        return not self.is_avoided(endpoint, request_class) or self._is_last_resort(endpoint, request_class)
+
     def wait_ns(self) -> float:
         """Nanoseconds until a request that joins the queue may be served, 0 where a warm endpoint may do so.
 
--- a/linnetshift/routing/endpoints.py
+++ b/linnetshift/routing/endpoints.py
@@ -70,6 +70,7 @@
     health_check_sent_at: int = 0  # when the health check in flight was sent, 0 when none is
     unresponsive_reports: dict[int, int] = field(default_factory=dict)  # balancer that reported, and when
     last_established_at: int = 0
+    answered_sent_at: int = 0  # when the latest attempt was sent that it has accepted
     consecutive_errors: int = 0  # errors in a row, each to a request that had met none before
     half_open_request: int = NO_REQUEST  # the request whose attempt tests it after an ejection
     is_recovery_due: bool = False  # ready again: the next request goes there, as else none might for long
--- a/linnetshift/routing/outlier_detection.py
+++ b/linnetshift/routing/outlier_detection.py
@@ -5,6 +5,7 @@
 from linnetshift.routing.context import RoutingContext
 from linnetshift.routing.endpoints import NO_REQUEST, Endpoint, EndpointTable
 from linnetshift.routing.events import Outcome
+from linnetshift.routing.pending_requests import PendingRequest
 
 MIN_ENDPOINTS_DOWN = 3
 """A zone or cell is lost with so many of its endpoints down at once, if more than are seen to work."""
@@ -35,9 +36,14 @@
         elif outcome in UNREACHABLE_OUTCOMES and not was_established:
             self.record_failure(endpoint, is_overload=False)
 
-    def record_established(self, endpoint: Endpoint, request_id: int) -> None:
-        """A connection was established there: it responds, and a half-open attempt has succeeded."""
-        endpoint.last_established_at = self._context.now
+    def record_established(self, endpoint: Endpoint, request_id: int, elapsed_ns: int) -> None:
+        """A connection was established there: it responds, and a half-open attempt has succeeded.
+
+        `elapsed_ns` is how long that took.
+        """
+        now = self._context.now
+        endpoint.last_established_at = now
+        endpoint.answered_sent_at = max(endpoint.answered_sent_at, now - elapsed_ns)
         endpoint.unresponsive_reports.clear()
         if endpoint.half_open_request == request_id:
             endpoint.half_open_request = NO_REQUEST
@@ -70,6 +76,16 @@
         if endpoint.ejection_time_ns and self._failed_recently(endpoint):
             endpoint.half_open_request = request_id
 
+    def handle_attempt_overdue(self, pending: PendingRequest) -> None:
+        """An attempt is past its latency objective and goes on: as a half-open one it has failed.
+
+        Otherwise all other requests would wait for its end.
+        """
+        endpoint = pending.endpoint
+        if endpoint is not None and endpoint.half_open_request == pending.request.request_id:
+            endpoint.half_open_request = NO_REQUEST
+            self.record_failure(endpoint, is_overload=False)
+
     def _next_ejection_time_ns(self, endpoint: Endpoint) -> int:
         settings = self._context.settings
         if endpoint.ejection_time_ns and self._failed_recently(endpoint):
--- a/linnetshift/routing/pending_requests.py
+++ b/linnetshift/routing/pending_requests.py
@@ -30,6 +30,7 @@
     request_class: RequestClass  # with the rules that were in force when it arrived
     last_attempt: int = NO_ATTEMPT
     endpoint: Endpoint | None = None  # where the latest attempt went, while it is in flight
+    attempt_sent_at: int = 0  # and when it was sent, ns of the caller's clock
     is_established: bool = False
     health_checks_sent: int = 0  # before its placement
     endpoints_tried: list[Endpoint] = field(default_factory=list)
@@ -49,7 +50,8 @@
     """The table of requests and established connections.
 
     State: the requests by id, the ids of those that wait for an endpoint, oldest first, and how many attempts
-    are in flight that are not established yet.
+    are in flight that are not established yet; also the requests whose attempt may overrun its latency
+    objective, since nothing else could serve them when it was sent.
     """
 
     def __init__(self, endpoints: EndpointTable) -> None:
@@ -58,6 +60,7 @@
         self._by_id: dict[int, PendingRequest] = {}
         self.waiting: deque[int] = deque()
         self.setups_in_flight = 0
+        self._overrunning: dict[int, PendingRequest] = {}
 
     def __len__(self) -> int:
         """Requests without their final answer and established connections."""
@@ -89,6 +92,18 @@
         """Whether there are at most as many as endpoints, so that they say little of the endpoints."""
         return len(self._by_id) <= len(self._endpoints)
 
+    def overrunning(self) -> list[PendingRequest]:
+        """Those whose attempt in flight may overrun its latency objective, oldest first."""
+        return list(self._overrunning.values())
+
+    def begin_overrun(self, pending: PendingRequest) -> None:
+        """The attempt in flight may overrun its latency objective."""
+        self._overrunning[pending.request.request_id] = pending
+
+    def end_overrun(self, pending: PendingRequest) -> None:
+        """It may no longer, or there is none; does nothing for one that never might."""
+        self._overrunning.pop(pending.request.request_id, None)
+
     def begin_attempt(self, pending: PendingRequest, endpoint: Endpoint) -> None:
         """Count an attempt that is sent now."""
         pending.last_attempt += 1
@@ -101,6 +116,7 @@
 
     def establish(self, pending: PendingRequest, endpoint: Endpoint) -> None:
         """Count the attempt in flight as an established connection."""
+        self.end_overrun(pending)
         pending.is_established = True
         endpoint.add_established(pending)
         self.setups_in_flight -= 1
@@ -119,6 +135,7 @@
         endpoint = pending.endpoint
         if endpoint is None:
             return
+        self.end_overrun(pending)
         endpoint.in_flight -= 1
         if not pending.is_established:
             self.setups_in_flight -= 1
--- a/linnetshift/routing/request_lifecycle.py
+++ b/linnetshift/routing/request_lifecycle.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from linnetshift.routing import retry_policy
-from linnetshift.routing.actions import Fail, Reject, Send
+from linnetshift.routing.actions import Cancel, Fail, Reject, Send
 from linnetshift.routing.concurrency_limit import ConcurrencyLimit
 from linnetshift.routing.context import RoutingContext
 from linnetshift.routing.endpoint_selection import EndpointSelection
@@ -100,18 +100,69 @@
         retry_policy.record_possible_execution(pending, endpoint, event.outcome, sent_at)
         self.place(pending)
 
+    def _may_overrun(self, pending: PendingRequest) -> bool:
+        """Whether the attempt is not to be given up at its latency objective, as nothing else is left."""
+        if not self._context.settings.may_cancel:
+            return False
+        return not self._selection.has_alternative(pending, pending.attempt_sent_at)
+
+    def review_overrunning(self) -> None:
+        """Cancel attempts past their latency objective where another attempt could do better by now.
+
+        Called at each tick. A cancelled attempt is reported as ended, and its request is then placed anew.
+        """
+        overdue = [pending for pending in self._requests.overrunning() if self._is_overdue(pending)]
+        for pending in overdue:
+            self._outlier_detection.handle_attempt_overdue(pending)
+        self._cancel_replaceable(overdue)
+        if self._requests.overrunning():
+            self._tick_timer.start()
+
+    def _is_overdue(self, pending: PendingRequest) -> bool:
+        elapsed_ns = self._context.now - pending.attempt_sent_at
+        return elapsed_ns >= pending.request_class.latency_objective_ns
+
+    def _cancel_replaceable(self, overdue: list[PendingRequest]) -> None:
+        """Cancel those of the overdue attempts that another one could replace in time."""
+        since = min((pending.attempt_sent_at for pending in overdue), default=0)
+        connect_timeout_ns = self._context.settings.connect_timeout_ns
+        alternatives: dict[int, list[Endpoint]] = {}  # by the number of the class
+        for pending in overdue:
+            if not retry_policy.may_replace_attempt(pending, self._context.now, connect_timeout_ns):
+                continue
+            klass = pending.request.klass
+            if klass not in alternatives:
+                alternatives[klass] = self._selection.possible_alternatives(pending.request_class, since)
+            if self._selection.has_alternative(pending, pending.attempt_sent_at, alternatives[klass]):
+                self._cancel(pending)
+
+    def _cancel(self, pending: PendingRequest) -> None:
+        """Give up an attempt that is late, as one that has timed out."""
+        assert pending.endpoint is not None
+        elapsed_ns = self._context.now - pending.attempt_sent_at
+        self._requests.end_overrun(pending)
+        self._outlier_detection.record_failure(pending.endpoint, is_overload=False)
+        self.record_setup(pending, elapsed_ns, has_failed=True)
+        self._context.emit(Cancel(pending.request.request_id, pending.last_attempt))
+
     def _send(self, pending: PendingRequest, endpoint: Endpoint) -> None:
         context = self._context
+        remaining_ns = pending.deadline - context.now
         timeout_ns = retry_policy.attempt_timeout_ns(
             pending,
-            remaining_ns=pending.deadline - context.now,
+            remaining_ns=remaining_ns,
             connect_timeout_ns=context.settings.connect_timeout_ns,
             is_congested=self.concurrency_limit.is_congested,
         )
         request_id = pending.request.request_id
         self._requests.begin_attempt(pending, endpoint)
+        pending.attempt_sent_at = context.now
         self._outlier_detection.begin_half_open_attempt(endpoint, request_id)
-        context.emit(Send(request_id, endpoint.id, timeout_ns))
+        may_overrun = timeout_ns < remaining_ns and self._may_overrun(pending)
+        context.emit(Send(request_id, endpoint.id, remaining_ns if may_overrun else timeout_ns))
+        if may_overrun:
+            self._requests.begin_overrun(pending)
+            self._tick_timer.start()
 
     def _queue(self, pending: PendingRequest) -> None:
         """Queue the request; reject it at once where no endpoint could serve it before its deadline."""
--- a/linnetshift/routing/retry_policy.py
+++ b/linnetshift/routing/retry_policy.py
@@ -10,7 +10,7 @@
 from linnetshift.routing.endpoints import MAX_ERRORS, Endpoint
 from linnetshift.routing.events import NEVER_RAN
 from linnetshift.routing.pending_requests import PendingRequest
-from linnetshift.routing.settings import Effect, Scope
+from linnetshift.routing.settings import Effect, RequestClass, Scope
 
 
 def may_attempt(pending: PendingRequest, now: int, connect_timeout_ns: int) -> bool:
@@ -29,8 +29,11 @@
 
 def may_execute_on(pending: PendingRequest, endpoint: Endpoint) -> bool:
     """Whether one more attempt, on that endpoint, can take effect at most once."""
-    request_class = pending.request_class
-    first_endpoint = pending.possibly_executed_on
+    return may_repeat_on(pending.request_class, pending.possibly_executed_on, endpoint)
+
+
+def may_repeat_on(request_class: RequestClass, first_endpoint: Endpoint | None, endpoint: Endpoint) -> bool:
+    """Whether what may have been executed on `first_endpoint` can take effect at most once on `endpoint`."""
     if (
         first_endpoint is None
         or request_class.effect == Effect.IDEMPOTENT
@@ -59,6 +62,18 @@
     return objective_ns if remaining_ns >= 2 * objective_ns else remaining_ns
 
 
+def may_replace_attempt(pending: PendingRequest, now: int, connect_timeout_ns: int) -> bool:
+    """Whether there is time for another attempt in place of the one in flight, which may have executed.
+
+    `now` is in nanoseconds of the caller's clock.
+    """
+    request_class = pending.request_class
+    if pending.deadline - now < request_class.latency_objective_ns:
+        return False
+    first_sent_at = pending.possibly_executed_at or pending.attempt_sent_at
+    return request_class.may_retry(first_sent_at, now + connect_timeout_ns)
+
+
 def client_may_retry(pending: PendingRequest, until: int) -> bool:
     """Whether it is harmless that the client sends the request again, at any balancer, until that time.
 
--- a/rig/decision_recordings/attempts.py
+++ b/rig/decision_recordings/attempts.py
@@ -80,6 +80,12 @@
         delay_ns = self.world.interval_ns(RETURN_AFTER_MIGRATION_PER_S)
         self.world.after(delay_ns, partial(self.clients.retry, request, RequestFlag.RETURNED))
 
+    def cancel(self, _instance: Instance, request_id: int, attempt: int) -> None:
+        """End an attempt as cancelled, unless it is over or has become a connection."""
+        request = self.world.requests.get(request_id)
+        if request is not None and not request.is_established:
+            self.finish(request, attempt, Outcome.CANCELLED)
+
     # The course of an attempt.
 
     def establish(self, request: Request, endpoint: Endpoint) -> None:
--- a/rig/decision_recordings/fleet.py
+++ b/rig/decision_recordings/fleet.py
@@ -68,6 +68,7 @@
             "notify_me": self.instances.notify_me,
             "probe": self.endpoint_model.probe,
             "reassign": self.attempts.reassign,
+            "retract": self.attempts.cancel,
             "submit": self.attempts.submit,
         }
 
