Rig: late answers are explained by waits for a processor, by figure

The rig records these waits and prints them with a violation and for the run.

The allowance for the rig's own delay was too wide: it added up delays over the whole life of a request, so 2.9 s in 2.9 s. It now counts those that can make an answer late: as the request is passed on and from the deadline on.

The new case of tests/test_fleet_invariants.py (a delay in between) failed before; the one at 1.6 s failed with the window alone.

--- a/rig/fleet/invariants.py
+++ b/rig/fleet/invariants.py
@@ -9,7 +9,14 @@
 from itertools import pairwise
 from typing import NamedTuple
 
-from rig.fleet.observations import CLOSED_UNANSWERED, Attempt, EndpointStart, Observations
+from rig.fleet.observations import (
+    CLOSED_UNANSWERED,
+    Answer,
+    Attempt,
+    ClientRequest,
+    EndpointStart,
+    Observations,
+)
 
 ANSWER_SLACK_S = 0.5
 """How long after its deadline a final answer may come, in seconds."""
@@ -24,6 +31,9 @@
 """Time for the notice of a drain, and for a connection sent before it, to arrive, in seconds."""
 
 
+PASSING_ON_S = 0.5
+"""A request reaches its node so soon after it was sent, in seconds, even where the rig is held up."""
+
 LEAVE_SLACK_S = 0.1
 """An attempt may begin so long after its client has left, in seconds."""
 
@@ -66,7 +76,7 @@
         for request in self.observations.requests.values():
             limit_s = request.sent_s + request.deadline_s + ANSWER_SLACK_S
             is_answered = any(
-                answer.at_s <= limit_s + self.observations.rig_delay_s(request.sent_s, answer.at_s)
+                answer.at_s <= limit_s + self._passing_on_delay_s(request, answer)
                 and answer.keyword != CLOSED_UNANSWERED
                 for answer in request.answers
             )
@@ -77,6 +87,12 @@
                 detail = f"{request.id:x} at node {request.node}, sent at {request.sent_s:.3f}"
                 yield Violation("unanswered", detail)
 
+    def _passing_on_delay_s(self, request: ClientRequest, answer: Answer) -> float:
+        """By how much the rig was late when it passed on the request, and the answer after the deadline."""
+        rig_delay_s = self.observations.rig_delay_s
+        request_delay_s = rig_delay_s(request.sent_s, request.sent_s + PASSING_ON_S)
+        return request_delay_s + rig_delay_s(request.sent_s + request.deadline_s, answer.at_s)
+
     def answered_twice(self) -> Iterator[Violation]:
         """No request gets a second final answer."""
         for request in self.observations.requests.values():
--- a/rig/fleet/observations.py
+++ b/rig/fleet/observations.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from rig.fleet.processor_waits import ProcessorWaits
+
 
 class RunClock:
     """Seconds since the run began."""
@@ -120,6 +122,12 @@
     rig_delays: list[Delay] = field(default_factory=list)
     """When the rig's own loop was late."""
 
+    rig_waits: ProcessorWaits = field(default_factory=ProcessorWaits)
+    """How long the rig's own process waited for a processor."""
+
+    node_waits: dict[int, ProcessorWaits] = field(default_factory=lambda: defaultdict(ProcessorWaits))
+    """How long each node's process did."""
+
     faulty_endpoint_links: set[tuple[int, str]] = field(default_factory=set)
     """Links of a node to an endpoint that had a fault at any time, by both."""
 
@@ -151,8 +159,12 @@
             notices[-1] = notices[-1]._replace(end_s=at_s)
 
     def rig_delay_s(self, since_s: float, until_s: float) -> float:
-        """By how much the rig itself was late in that time, in all."""
-        return sum(delay.late_s for delay in self.rig_delays if since_s <= delay.at_s <= until_s)
+        """By how much the rig itself was late from `since_s` on, in delays that began by `until_s`."""
+        return sum(
+            min(delay.late_s, delay.at_s - since_s)
+            for delay in self.rig_delays
+            if since_s <= delay.at_s and delay.at_s - delay.late_s <= until_s
+        )
 
     def forget_notices(self, node: int, at_s: float) -> None:
         """A new process of the node starts, which was notified of nothing yet."""
--- a/rig/fleet/run.py
+++ b/rig/fleet/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -22,6 +23,10 @@
 """A loop that is late by less is not held up, in seconds."""
 
 
+WAIT_SAMPLE_S = 0.05
+"""Time between two looks at how long processes waited for a processor, in seconds."""
+
+
 @dataclass
 class Report:
     """Result of a run."""
@@ -73,13 +78,31 @@
             observations.rig_delays.append(Delay(clock(), late_s))
 
 
+async def _record_processor_waits(deployment: Deployment) -> None:
+    """Record how long all processes waited for a processor, until cancelled."""
+    observations = deployment.observations
+    while True:
+        now_s = deployment.clock()
+        observations.rig_waits.sample(os.getpid(), now_s)
+        for node in deployment.nodes:
+            if node.process is not None:
+                observations.node_waits[node.number].sample(node.process.pid, now_s)
+        await asyncio.sleep(WAIT_SAMPLE_S)
+
+
 async def _run_traffic(deployment: Deployment) -> None:
-    probing = asyncio.ensure_future(_record_delays(deployment.observations, deployment.clock))
-    dropping = asyncio.ensure_future(deployment.drop_overload())
+    background = [
+        asyncio.ensure_future(work)
+        for work in (
+            _record_delays(deployment.observations, deployment.clock),
+            _record_processor_waits(deployment),
+            deployment.drop_overload(),
+        )
+    ]
     injector = FaultInjector(deployment)
     faults = [asyncio.ensure_future(injector.inject(fault)) for fault in deployment.scenario.faults]
     await ClientLoad(deployment).run()
     await asyncio.gather(*faults)
     await deployment.background.wait()
-    dropping.cancel()
-    probing.cancel()
+    for task in background:
+        task.cancel()
--- a/rig/fleet/violation_logs.py
+++ b/rig/fleet/violation_logs.py
@@ -27,14 +27,22 @@
 
 def explain(violations: Sequence[Violation], observations: Observations, folder: Path) -> str:
     """The violations, each with the log lines and the rig's own delays that concern its request."""
-    parts = [f"{len(violations)} violations; logs of all nodes are in {folder}"]
-    for violation in violations:
+    parts = [f"{len(violations)} violations; logs of all nodes are in {folder}", _disturbance(observations)]
+    for number, violation in enumerate(violations):
         parts.append(f"{violation.rule}: {violation.detail}")
-        if len(parts) <= MAX_EXPLAINED_VIOLATIONS:
+        if number < MAX_EXPLAINED_VIOLATIONS:
             parts += [f"    {line}" for line in _evidence(violation, observations, folder)]
     return "\n".join(parts)
 
 
+def _disturbance(observations: Observations) -> str:
+    """How much other work on the machine disturbed the run, by figure."""
+    node_waits = [waits.share() for waits in observations.node_waits.values()]
+    rig_share = observations.rig_waits.share()
+    longest = max(node_waits, default=0.0)
+    return f"waits for a processor, parts of the run: rig {rig_share:.0%}, nodes up to {longest:.0%}"
+
+
 def _evidence(violation: Violation, observations: Observations, folder: Path) -> Iterator[str]:
     """What is known of the request that a violation names."""
     match = REQUEST_ID.match(violation.detail)
@@ -50,6 +58,9 @@
     until_s = max((answer.at_s for answer in request.answers), default=request.sent_s + request.deadline_s)
     delay_s = observations.rig_delay_s(request.sent_s - LOOK_BACK_S, until_s)
     yield f"the rig's own loop was late by {delay_s:.3f} s in that time"
+    node_wait_s = observations.node_waits[request.node].waited_s(request.sent_s, until_s)
+    rig_wait_s = observations.rig_waits.waited_s(request.sent_s, until_s)
+    yield f"waits for a processor since then: node {node_wait_s:.3f} s, rig {rig_wait_s:.3f} s"
     yield from _logged(request, folder)
 
 
--- a/tests/test_fleet_invariants.py
+++ b/tests/test_fleet_invariants.py
@@ -94,6 +94,10 @@
         (with_rig_delay(one_request(Answer(3.9, "BUSY")), Delay(3.8, 0.5)), set()),
         (with_rig_delay(one_request(Answer(3.9, "BUSY")), Delay(3.8, 0.3)), {"unanswered"}),
         (with_rig_delay(one_request(Answer(3.9, "BUSY")), Delay(0.9, 0.5)), {"unanswered"}),
+        (with_rig_delay(one_request(Answer(3.9, "BUSY")), Delay(1.3, 0.5)), {"unanswered"}),
+        (with_rig_delay(one_request(Answer(3.9, "BUSY")), Delay(1.6, 0.5)), set()),
+        # A delay while the request waits at its node does not make the answer late.
+        (with_rig_delay(one_request(Answer(3.9, "BUSY")), Delay(2.2, 0.5)), {"unanswered"}),
         (with_rig_delay(one_request(), Delay(3.8, 0.5)), {"unanswered"}),
         (with_node_outage(one_request()), set()),
         (one_request(Answer(1.1, "BUSY"), Answer(1.2, "UP")), {"answered-twice"}),
