Tests: the emulated discovery answers an open watch before it holds calls

Three calls were held then.

Cause: the test set holds_calls while the first watch was on its way. The stand-in looks at it when its thread comes to run, so the watch that was to get the answer was held too. A delay of 0.3 s before it looks makes all five cases and the next test hang.

hold_calls_after_open_watch waits under the lock until a watch waits for a change and only then holds those that follow; answer_open_watch gives it the answer under the same lock. What the tests assert is unchanged.

--- a/tests/emulated_peers.py
+++ b/tests/emulated_peers.py
@@ -136,6 +136,9 @@
         self.replacement_answers: list[object] = []
         """Answers to give once each in place of the list, the last one first."""
 
+        self.open_watches = 0
+        """Watches that wait for a change; those that come later see all that was set before."""
+
         self.list_changed = threading.Condition()
         self.calls: queue.Queue[str] = queue.Queue()
         self.server = DiscoveryHttpServer(self)
@@ -152,9 +155,12 @@
 
     def wait_for_change(self, revision: int, timeout_s: float) -> bool:
         """Wait until the list is newer, with `list_changed` held; False where the watch is to be reset."""
+        self.open_watches += 1
+        self.list_changed.notify_all()
         self.list_changed.wait_for(
             lambda: self.rev > revision or self.answers_503 or self.resets_next_watch, timeout_s
         )
+        self.open_watches -= 1
         is_reset = self.resets_next_watch
         self.resets_next_watch = False
         return not is_reset
@@ -173,6 +179,18 @@
             self.resets_next_watch = True
             self.list_changed.notify_all()
 
+    def hold_calls_after_open_watch(self) -> None:
+        """Hold the calls that follow the watch that waits now, or that is to come first."""
+        with self.list_changed:
+            assert self.list_changed.wait_for(lambda: self.open_watches > 0, WAIT_S), "no watch was opened"
+            self.holds_calls = True
+
+    def answer_open_watch(self, answer: object) -> None:
+        """Answer the watch that waits now, or that is to come first, and hold all calls that follow it."""
+        with self.list_changed:
+            self.hold_calls_after_open_watch()
+            self.answer_once(answer)
+
     def answer_once(self, answer: object) -> None:
         """Give this answer once in place of the list; bytes are sent as they are."""
         with self.list_changed:
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -141,7 +141,7 @@
     short_timeouts = classmethod(lambda cls, _: cls(False, 200, 100 * MS, 300 * MS))
     monkeypatch.setattr(WatchTimeouts, "of", short_timeouts)
     with proxy_in_thread(tmp_path, **LONG_BACKOFF) as running:
-        running.discovery.holds_calls = True
+        running.discovery.hold_calls_after_open_watch()
         running.discovery.change()  # completes the open watch; the next one is never answered
         assert "since=" in unanswered_call(running).path
         assert "since=" in unanswered_call(running).path
@@ -154,7 +154,7 @@
     # With a constant timeout, no call to an overloaded discovery server might ever be answered.
     monkeypatch.setattr(WatchTimeouts, "of", classmethod(lambda cls, _: cls(pushed, 40, 10 * MS, 20 * MS)))
     with proxy_in_thread(tmp_path, **LONG_BACKOFF) as running:
-        running.discovery.holds_calls = True
+        running.discovery.hold_calls_after_open_watch()
         running.discovery.change()
         for _ in range(6):
             last_call = unanswered_call(running)
@@ -168,7 +168,7 @@
     # Each time-out was followed by a 503, which reset the limit: no call lived until its turn came.
     with proxy_in_thread(tmp_path, rules={"mustAskInNs": S // 2}) as running:
         discovery = running.program.discovery
-        running.discovery.holds_calls = True
+        running.discovery.hold_calls_after_open_watch()
         running.discovery.change()
         unanswered_call(running)
         for has_timed_out in (True, False, True, False):
@@ -187,7 +187,7 @@
 def test_pushed_list_watch_recovers_after_timeouts_and_error_responses(tmp_path: Path) -> None:
     with started_proxy(tmp_path, endpoints=2, **PUSHED_LISTS, **LONG_BACKOFF) as running:
         best, other = ranked(running)
-        running.discovery.holds_calls = True
+        running.discovery.hold_calls_after_open_watch()
         running.discovery.change()
         for _ in range(3):  # repeated while there is no answer
             unanswered_call(running)
@@ -268,7 +268,7 @@
     # A reload with the same address used to leave a watch that got no answer as it was.
     with started_proxy(tmp_path, endpoints=2, discovery=discovery, rules=LONG_BACKOFF["rules"]) as running:
         best, other = ranked(running)
-        running.discovery.holds_calls = True
+        running.discovery.hold_calls_after_open_watch()
         running.discovery.change()
         unanswered_call(running)
         best.state = "DRAINING"
@@ -282,7 +282,7 @@
 def test_late_answer_from_former_address_is_ignored(tmp_path: Path) -> None:
     with started_proxy(tmp_path, endpoints=2, rules=LONG_BACKOFF["rules"]) as running:
         best, other = ranked(running)
-        running.discovery.holds_calls = True
+        running.discovery.hold_calls_after_open_watch()
         running.discovery.change()
         former_call = unanswered_call(running)  # its list has both endpoints serving, under the next revision
         new_server = DiscoveryServer(running.endpoints)
@@ -310,7 +310,7 @@
     # The former call used to be closed, and what discovery had written to it was lost.
     with started_proxy(tmp_path, endpoints=2, rules=LONG_BACKOFF["rules"]) as running:
         best, other = ranked(running)
-        running.discovery.holds_calls = True
+        running.discovery.hold_calls_after_open_watch()
         running.discovery.change()
         former_call = unanswered_call(running)
         running.process.send_signal(signal.SIGHUP)
@@ -323,7 +323,7 @@
     # Only the call at the address before the current one used to be remembered.
     with started_proxy(tmp_path, endpoints=2, rules=LONG_BACKOFF["rules"]) as running:
         best, other = ranked(running)
-        running.discovery.holds_calls = True
+        running.discovery.hold_calls_after_open_watch()
         running.discovery.change()
         former_call = unanswered_call(running)
         silent_servers = [DiscoveryServer(running.endpoints) for _ in range(2)]
@@ -339,7 +339,7 @@
     # The first answer of the new address used to end the wait for the former one.
     with started_proxy(tmp_path, endpoints=2, rules=LONG_BACKOFF["rules"]) as running:
         best, other = ranked(running)
-        running.discovery.holds_calls = True
+        running.discovery.hold_calls_after_open_watch()
         running.discovery.change()
         former_call = unanswered_call(running)
         new_server = DiscoveryServer(running.endpoints)
@@ -385,8 +385,7 @@
         listing["targets"] = [
             target | invalid_fields if target["uid"] == best.uid else target for target in listing["targets"]
         ]
-        running.discovery.holds_calls = True  # of those that follow
-        running.discovery.answer_once(listing)
+        running.discovery.answer_open_watch(listing)
         assert_request_avoids_draining_endpoint(running, best, other)
 
 
@@ -398,8 +397,7 @@
         listing["rev"] += 1
         listing["targets"] = [target for target in listing["targets"] if target["uid"] != best.uid]
         listing["targets"][0]["capacity_hint"] = "large"
-        running.discovery.holds_calls = True  # of those that follow
-        running.discovery.answer_once(listing)
+        running.discovery.answer_open_watch(listing)
         running.logged("event=endpoint-list-received .*removed=1")
         client = running.open()
         attempted = running.next_attempted()
