--- a/rig/fleet/observations.py
+++ b/rig/fleet/observations.py
@@ -181,6 +181,12 @@
         """Whether the node, or its link from clients, was at fault at any moment of that time."""
         return any(outage.overlaps(since_s, until_s) for outage in self.node_outages.get(node, ()))
 
+    def up_share(self, since_s: float, until_s: float) -> float:
+        """The part of the requests sent in that time that were answered UP; 1.0 where there are none."""
+        sent = [request for request in self.requests.values() if since_s <= request.sent_s < until_s]
+        up = sum(any(answer.keyword == "UP" for answer in request.answers) for request in sent)
+        return up / len(sent) if sent else 1.0
+
     def slow_start_use(self) -> SlowStartUse:
         """Use of all endpoints that warmed up, in whole seconds of the run."""
         sent = 0.0
--- a/tests/test_fleet_invariants.py
+++ b/tests/test_fleet_invariants.py
@@ -188,6 +188,27 @@
     assert [notice.end_s for notice in notices] == [math.inf]
 
 
+def test_change_that_discovery_has_in_an_outage_counts_as_known_some_time_after_its_return(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # It counted from the change on, though discovery refused every call.
+    async def publish_removal_in_outage() -> tuple[int, int]:
+        observations = Observations()
+        server = DiscoveryServer(parse('name = "x"\nnodes = 1'), observations, RunClock())
+        server.views[0] = {"s": {"state": "SERVING"}}
+        server.record_view(0)
+        await server.set_unavailable(0, is_on=True)
+        await asyncio.gather(*server.publish(lambda node: {}))
+        await asyncio.sleep(0.2)
+        notices_in_outage = len(observations.drain_notices[0, "s"])
+        await server.set_unavailable(0, is_on=False)
+        await asyncio.sleep(0.2)
+        return notices_in_outage, len(observations.drain_notices[0, "s"])
+
+    monkeypatch.setattr("rig.fleet.model_discovery.NOTICE_DEADLINE_S", 0.05)
+    assert asyncio.run(publish_removal_in_outage()) == (0, 1)
+
+
 def test_discovery_serves_calls_in_turn_and_fails_those_that_wait_too_long() -> None:
     capacity = "[discovery]\nservice_s = 0.1\nlongest_wait_s = 0.15"
 
