Suspension: an outage of discovery and restarts no longer cost the fleet

Cause: unconfirmed_endpoints suspended every endpoint that was seen to end once the lease had expired, without a bound, until discovery answered; and the lease expired in an outage, where nothing can count as known. Evidence: 4 to 6 endpoint-suspended in each process and no endpoint-resumed; without them the same endpoints take all opens.

Three calls in a row refused within 0.25 s, with none between that waited or was answered, renew the lease for 6 s from the last: discovery is down. Besides, at most half of the ready endpoints are suspended, those that ended last: it bounds an outage in which calls time out.

The test of a suspended endpoint used a discovery that refuses at once; it now refuses after 0.5 s, as a crowded one does, and a new one asserts that the former serves.

--- a/linnetshift/broker/administrative_drains.py
+++ b/linnetshift/broker/administrative_drains.py
@@ -147,6 +147,10 @@
         """Whether discovery last reported that it serves; an administrative drain does not count."""
         return endpoint in self.listed and self.listed[endpoint].state == EndpointState.READY
 
+    def count_listed_ready(self) -> int:
+        """How many endpoints discovery last reported to serve."""
+        return sum(entry.state == EndpointState.READY for entry in self.listed.values())
+
     # ---- drains and restores ----------------------------------------------------------------
 
     def is_full(self) -> bool:
--- a/linnetshift/broker/endpoint_views.py
+++ b/linnetshift/broker/endpoint_views.py
@@ -27,7 +27,7 @@
         self.zones: dict[bytes, int] = {}  # number of each endpoint's zone
         self.started_ns: dict[bytes, int] = {}  # when each endpoint last started, as listed; 0: long ago
         self.administrative_drains = AdministrativeDrains(clock)
-        self.unconfirmed = UnconfirmedEndpoints(lease)
+        self.unconfirmed = UnconfirmedEndpoints(lease, self.administrative_drains)
         self.latency_estimator = LatencyEstimator()
         self.deployment_facts = DeploymentFacts()
         self.configure(settings)
--- a/linnetshift/broker/unconfirmed_endpoints.py
+++ b/linnetshift/broker/unconfirmed_endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from linnetshift.broker.administrative_drains import AdministrativeDrains
 from linnetshift.discovery.list_lease import ListLease
 from linnetshift.observability import log
 from linnetshift.observability.resource_usage import ResourceUsage
@@ -10,6 +11,8 @@
 NS_PER_MS = 1_000_000
 # Discovery learns of a process that ended seconds later: an answer that comes sooner may not tell of it yet.
 DISCOVERY_LATENESS_NS = 4_000_000_000
+# Of the endpoints that are listed as ready, at most this share is suspended at a time.
+MAX_SUSPENDED_SHARE = 0.5
 
 
 class UnconfirmedEndpoints:
@@ -18,11 +21,15 @@
     An endpoint that refused a connection has no process; one that sent a client away drains. If it serves
     again, discovery has listed it as not ready meanwhile, and that may count as known here by now. So nothing
     new goes there until discovery has answered. While the lease holds, the list tells in time.
+
+    Discovery may answer nothing for long while one endpoint after the other restarts. So at most half of
+    those that are listed as ready are suspended at a time, the ones that were seen to end last.
     """
 
-    def __init__(self, lease: ListLease) -> None:
-        """Nothing was seen yet; `lease` is kept up to date by the discovery client."""
+    def __init__(self, lease: ListLease, drains: AdministrativeDrains) -> None:
+        """Nothing was seen yet; `lease` is kept up to date by the discovery client, `drains` has the list."""
         self._lease = lease
+        self._drains = drains
         self._seen_at_ns: dict[bytes, int] = {}  # when each was last seen to end or to drain
         self._suspended: set[bytes] = set()
         self._was_expired = False
@@ -53,7 +60,7 @@
             del self._seen_at_ns[endpoint]
         is_expired = self._lease.is_expired(now_ns)
         self._log_transition(is_expired, now_ns)
-        suspended = set(self._seen_at_ns) if is_expired else set()
+        suspended = self._to_suspend() if is_expired else set()
         changed = suspended ^ self._suspended
         self._suspended = suspended
         suspensions = [EndpointSuspension(endpoint, endpoint in suspended) for endpoint in sorted(changed)]
@@ -61,6 +68,14 @@
             self._log_suspension(suspension, now_ns)
         return suspensions
 
+    def _to_suspend(self) -> set[bytes]:
+        """The endpoints seen to end last, as many of the ready ones as may be suspended."""
+        if not self._seen_at_ns:
+            return set()
+        seen = [endpoint for endpoint in self._seen_at_ns if self._drains.is_listed_ready(endpoint)]
+        latest_first = sorted(seen, key=self._seen_at_ns.__getitem__, reverse=True)
+        return set(latest_first[: int(self._drains.count_listed_ready() * MAX_SUSPENDED_SHARE)])
+
     def resource_usage(self, max_endpoints: int) -> dict[str, ResourceUsage]:
         """Its container, under its name in `GET /ops/census`."""
         return {"broker.unconfirmed": ResourceUsage(len(self._seen_at_ns), max_endpoints)}
--- a/linnetshift/discovery/http_call.py
+++ b/linnetshift/discovery/http_call.py
@@ -38,6 +38,7 @@
     call: DiscoveryCall
     document: Any  # as decoded from JSON; None where the call failed
     has_timed_out: bool = False  # it failed, as no answer came in time
+    elapsed_ns: int = 0  # how long it took
 
 
 class DiscoveryCall(OutboundConnection):
@@ -68,11 +69,17 @@
             timer.cancel()
         if self.stream is not None:
             self.stream.close()
-        elapsed_ms = (self.loop.now() - began_ns) // MS
+        ended_ns = self.loop.now()
+        elapsed_ns = ended_ns - began_ns
         if document is None:
-            log.info("discovery-call-failed", path=self.path, error=error[:MAX_LOGGED_CHARS], ms=elapsed_ms)
-        has_timed_out = document is None and self.loop.now() >= deadline
-        self.discovery.post(CallEnded(self, document, has_timed_out))
+            log.info(
+                "discovery-call-failed",
+                path=self.path,
+                error=error[:MAX_LOGGED_CHARS],
+                ms=elapsed_ns // MS,
+            )
+        has_timed_out = document is None and ended_ns >= deadline
+        self.discovery.post(CallEnded(self, document, has_timed_out, elapsed_ns))
 
     def report_failure(self) -> None:
         """Report a failed call after a fault in this one."""
--- a/linnetshift/discovery/list_lease.py
+++ b/linnetshift/discovery/list_lease.py
@@ -12,6 +12,9 @@
 RELOAD_DEADLINE_NS = 4 * S
 # Discovery lets no call wait longer for its turn: one that is open longer is a watch, and tells of changes.
 LONGEST_TURN_NS = 3 * S
+# So many calls in a row that are refused at once show that discovery is down. A crowded one lets calls wait,
+# and refuses some of them at once only between others.
+MIN_REFUSALS = 3
 
 
 class ListLease:
@@ -25,6 +28,7 @@
         """The list of the start counts as confirmed then."""
         self.confirmed_at_ns = now_ns
         self._expires_at_ns = now_ns + NOTICE_DEADLINE_NS
+        self._refusals = 0  # calls in a row that were refused at once
 
     def is_expired(self, now_ns: int) -> bool:
         """Whether discovery may have changes that count as known here."""
@@ -36,6 +40,7 @@
 
     def renew(self, now_ns: int) -> None:
         """Discovery has answered, with changes or without."""
+        self._refusals = 0
         self.confirmed_at_ns = now_ns
         self._expires_at_ns = now_ns + NOTICE_DEADLINE_NS
 
@@ -52,5 +57,21 @@
 
         If it was open for long it was a watch until about now. Else it may never have become one.
         """
+        self._refusals = 0
+        self._end_extension(now_ns)
+
+    def handle_call_refused(self, now_ns: int) -> None:
+        """A call was refused at once; discovery cannot be reached where several were, and none waited.
+
+        What it has counts as known here only so long after it can be reached again.
+        """
+        self._refusals += 1
+        if self._refusals >= MIN_REFUSALS:
+            self._expires_at_ns = max(self._expires_at_ns, now_ns + NOTICE_DEADLINE_NS)
+        else:
+            self._end_extension(now_ns)
+
+    def _end_extension(self, now_ns: int) -> None:
+        """The watch is over, which was one until shortly before if it was open for long."""
         last_reliable_ns = max(self.confirmed_at_ns, now_ns - LONGEST_TURN_NS)
         self._expires_at_ns = min(self._expires_at_ns, last_reliable_ns + NOTICE_DEADLINE_NS)
--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -33,6 +33,8 @@
 WAIT_AFTER_FAILURE_MS = 1000
 # The most that a call for the full list may take, however often the limit was doubled.
 MAX_FULL_LIST_CALL_NS = 4 * S
+# A call that fails sooner was refused without having waited for its turn: discovery is down.
+REFUSAL_NS = 250 * MS
 # The most often that the time limits of calls are doubled while none is answered.
 MAX_TIMEOUT_DOUBLINGS = 2
 # Waits are drawn between this share and the whole, so that proxies whose watches ended together do not all
@@ -157,8 +159,8 @@
                 self._fetch_list()
             case Timeout(tag=WatchTimer.REOPEN) if self.watch_call is None:
                 self._open_watch()
-            case CallEnded(call, document, has_timed_out):
-                self._handle_call_ended(call, document, has_timed_out)
+            case CallEnded():
+                self._handle_call_ended(message)
                 self.notify_call_ended()
 
     def _handle_relocation(self, address: Address, timeouts: WatchTimeouts) -> None:
@@ -220,8 +222,9 @@
 
     # ---- answers ----------------------------------------------------------------------------
 
-    def _handle_call_ended(self, call: DiscoveryCall, document: Any, has_timed_out: bool) -> None:
+    def _handle_call_ended(self, ended: CallEnded) -> None:
         """Use the list that a call brought, or act on its failure."""
+        call = ended.call
         is_watch = call is self.watch_call
         if is_watch:
             self.watch_call = None
@@ -229,7 +232,7 @@
             self.other_calls.remove(call)
         else:
             return  # a watch that the decisions ended
-        list_update = self._parse(document)
+        list_update = self._parse(ended.document)
         if list_update is not None and self._is_usable(list_update, call, is_watch):
             if call.address == self.address:
                 self.lease.renew(self.loop.now())
@@ -237,7 +240,7 @@
             if is_watch:
                 self._handle_watch_answered()
         elif is_watch:
-            self._handle_watch_failed(has_timed_out)
+            self._handle_watch_failed(ended)
 
     def _parse(self, document: Any) -> EndpointListUpdate | None:
         """The list in an answer; None where there is no answer, or it is no list."""
@@ -302,12 +305,16 @@
         self._open_watch()
         self.lease.extend(self.loop.now(), self.watch_wait_ns)
 
-    def _handle_watch_failed(self, has_timed_out: bool) -> None:
+    def _handle_watch_failed(self, ended: CallEnded) -> None:
         """Reopen the watch, or leave it to the decisions when to."""
         self.last_watch_failed = True
         self.consecutive_failures += 1
-        self.lease.handle_watch_failed(self.loop.now())
-        if has_timed_out:
+        is_refused = ended.document is None and not ended.has_timed_out
+        if is_refused and ended.elapsed_ns < REFUSAL_NS:
+            self.lease.handle_call_refused(self.loop.now())
+        else:
+            self.lease.handle_watch_failed(self.loop.now())
+        if ended.has_timed_out:
             self._open_watch()  # without a back-off: the time-out was one
         elif self.timeouts.is_pushed:
             self.set_timer(REOPEN_DELAY_NS, WatchTimer.REOPEN)
--- a/tests/emulated_peers.py
+++ b/tests/emulated_peers.py
@@ -130,6 +130,9 @@
         self.indent = indent
         self.rev = 1
         self.answers_503 = False
+        self.answers_503_after_s = 0.0
+        """How long a call waits before it gets a 503, as at a crowded discovery."""
+
         self.holds_calls = False
         self.resets_next_watch = False
         self.held_calls: queue.Queue[HeldCall] = queue.Queue()
@@ -203,10 +206,11 @@
         """Where it listens, as host:port."""
         return f"127.0.0.1:{self.server.server_address[1]}"
 
-    def fail(self, is_failing: bool) -> None:
-        """Begin or end to answer every call with a 503."""
+    def fail(self, is_failing: bool, after_s: float = 0.0) -> None:
+        """Begin or end to answer every call with a 503, after it has waited for `after_s`."""
         with self.list_changed:
             self.answers_503 = is_failing
+            self.answers_503_after_s = after_s
             self.list_changed.notify_all()
 
 
@@ -247,6 +251,8 @@
                     self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                     return
             body = discovery.next_answer()
+        if discovery.answers_503:
+            time.sleep(discovery.answers_503_after_s)
         self.answer(503 if discovery.answers_503 else 200, body)
 
     def answer(self, status: int, body: bytes) -> None:
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -55,3 +55,33 @@
     lease.extend(0, 10 * S)
     lease.handle_reload(3 * S)
     assert expires_between(lease, 6.9, 7.0)
+
+
+def test_calls_refused_at_once_in_a_row_extend_the_lease_as_discovery_is_down() -> None:
+    # What discovery has counts as known only some time after it can be reached.
+    lease = ListLease(0)
+    for at_s in (1, 3):
+        lease.handle_call_refused(at_s * S)
+    assert expires_between(lease, 5.9, 6.0)
+    lease.handle_call_refused(5 * S)
+    assert expires_between(lease, 10.9, 11.0)
+    lease.handle_call_refused(9 * S)
+    assert expires_between(lease, 14.9, 15.0)
+
+
+def test_call_that_waited_shows_that_refusals_before_it_are_of_a_crowded_discovery() -> None:
+    lease = ListLease(0)
+    for at_s in (1, 2):
+        lease.handle_call_refused(at_s * S)
+    lease.handle_watch_failed(4 * S)
+    lease.handle_call_refused(5 * S)
+    assert expires_between(lease, 5.9, 6.0)
+
+
+def test_answer_ends_the_row_of_refused_calls() -> None:
+    lease = ListLease(0)
+    for at_s in (1, 2):
+        lease.handle_call_refused(at_s * S)
+    lease.renew(3 * S)
+    lease.handle_call_refused(8 * S)
+    assert expires_between(lease, 8.9, 9.0)
--- a/tests/test_unconfirmed_endpoints.py
+++ b/tests/test_unconfirmed_endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 
 import pytest
@@ -10,6 +11,7 @@
 from proxy_harness import started_proxy
 from running_proxy import ranked
 
+from linnetshift.broker.administrative_drains import AdministrativeDrains
 from linnetshift.broker.unconfirmed_endpoints import UnconfirmedEndpoints
 from linnetshift.discovery.list_lease import ListLease
 from linnetshift.routing.actions import Cancel
@@ -20,6 +22,13 @@
 RESUMPTION = EndpointSuspension(endpoint(1), is_suspended=False)
 
 
+def listed_drains(count: int) -> AdministrativeDrains:
+    """The list as discovery last gave it, with so many endpoints that are ready."""
+    drains = AdministrativeDrains(lambda: 0)
+    drains.overlay(listed(*(entry(number) for number in range(count))))
+    return drains
+
+
 @pytest.fixture
 def lease() -> ListLease:
     return ListLease(0)
@@ -28,7 +37,7 @@
 @pytest.fixture
 def unconfirmed(lease: ListLease) -> UnconfirmedEndpoints:
     """Endpoint 1 was seen to end at 1 s."""
-    endpoints = UnconfirmedEndpoints(lease)
+    endpoints = UnconfirmedEndpoints(lease, listed_drains(4))
     endpoints.record_unavailable(endpoint(1), 1 * S)
     return endpoints
 
@@ -66,6 +75,28 @@
     assert unconfirmed.review(20 * S) == []
 
 
+def test_no_more_than_half_of_the_ready_endpoints_are_suspended_those_that_ended_last(
+    lease: ListLease,
+) -> None:
+    # A restart of one endpoint after the other took all of them out of use while discovery was down.
+    endpoints = UnconfirmedEndpoints(lease, listed_drains(5))
+    for number in (3, 0, 4, 1):
+        endpoints.record_unavailable(endpoint(number), (10 + number) * S)
+    changed = endpoints.review(20 * S)
+    assert [suspension.endpoint for suspension in changed] == [endpoint(3), endpoint(4)]
+    endpoints.record_unavailable(endpoint(2), 20 * S)
+    assert endpoints.review(21 * S) == [
+        EndpointSuspension(endpoint(2), is_suspended=True),
+        EndpointSuspension(endpoint(3), is_suspended=False),
+    ]
+
+
+def test_only_endpoint_is_never_suspended(lease: ListLease) -> None:
+    endpoints = UnconfirmedEndpoints(lease, listed_drains(1))
+    endpoints.record_unavailable(endpoint(0), 10 * S)
+    assert endpoints.review(20 * S) == []
+
+
 def test_request_is_not_sent_to_a_suspended_endpoint_though_it_is_listed_as_ready() -> None:
     surroundings = FakeSurroundings()
     broker = surroundings.broker
@@ -106,10 +137,11 @@
 def test_endpoint_that_ended_and_returned_gets_no_request_while_discovery_answers_nothing(
     tmp_path: Path,
 ) -> None:
-    # It used to: by then discovery had listed it as removed, and that counted as known.
+    # It used to: by then discovery had listed it as removed, and that counted as known. A call that waits
+    # before it fails is one of a crowded discovery, not of one that is down.
     with started_proxy(tmp_path, endpoints=2, discovery="ask") as running:
         best, other = ranked(running)
-        running.discovery.fail(True)
+        running.discovery.fail(True, after_s=0.5)
         best.stop_listening()
         connections = [running.open(), other.serve()]
         assert connections[0].line() == b"UP r1\r\n"
@@ -134,3 +166,23 @@
     surroundings.now += 7 * S
     broker.review_unconfirmed_endpoints()
     assert not broker.endpoint_views.unconfirmed.is_suspended(attempt.endpoint)
+
+
+def test_endpoint_that_ended_and_returned_serves_while_discovery_refuses_all_calls(tmp_path: Path) -> None:
+    # It got nothing as long as an outage of discovery lasted.
+    with started_proxy(tmp_path, endpoints=2, discovery="ask") as running:
+        best, other = ranked(running)
+        running.discovery.fail(True)
+        best.stop_listening()
+        connections = [running.open(), other.serve()]
+        assert connections[0].line() == b"UP r1\r\n"
+        best.listen_again()
+        until_s = time.monotonic() + 7.0  # past the lease of the list
+        while time.monotonic() < until_s:
+            running.logged("event=discovery-call-failed .*503")
+        client = running.open()
+        assert running.next_attempted() is best
+        connections += [client, best.serve()]
+        assert client.line() == b"UP r1\r\n"
+        lines = running.passed_lines + running.unread_lines()
+        assert not [line for line in lines if "event=endpoint-suspended" in line]
