Rig: the queue at discovery survives the new beginning of the run's clock

Cause, in part the rig's: the end of the queue was kept on the run's clock, which begins anew once all nodes are ready, after their first calls. A queue of 4 s became one of 4 s plus the time of the start (1.7 s alone, several beside load), in which discovery served nobody. Trace: 10 second calls at 2.25 to 2.59 s met a queue of 3.8 to 4.2 s, though 20 calls had been made from 0.35 s before the new beginning on.

The queue and the times of answers are on the event loop's clock now. What the test asserts, and five calls a second, are unchanged.

test_queue_at_discovery_is_as_long_after_the_clock_of_the_run_begins_anew failed before (0.60 s where 0.1 s is right).

--- a/rig/fleet/model_discovery.py
+++ b/rig/fleet/model_discovery.py
@@ -42,6 +42,11 @@
 """Entries by the endpoint's uid."""
 
 
+def loop_time_s() -> float:
+    """Time on the running loop's clock, in seconds."""
+    return asyncio.get_running_loop().time()
+
+
 @dataclass
 class AnswerFaults:
     """What is wrong with the answers to one node."""
@@ -76,12 +81,16 @@
         """Nodes that could not reach discovery when there was something to be notified of."""
 
         self._free_at_s = 0.0
-        """When the calls that wait or are served now will all have had their turn."""
+        """When the calls that wait or are served now will all have had their turn, on the loop's clock.
+
+        The clock of the run begins anew once all nodes are ready, after their first calls.
+        """
 
         self.faults = [AnswerFaults() for _ in range(scenario.nodes)]
         self._first_views: list[ListEntries] = [{} for _ in range(scenario.nodes)]
         self._answered_s = [-math.inf] * scenario.nodes
-        """When each node was last sent an answer."""
+        """When each node was last sent an answer, on the loop's clock."""
+
         self._changes = [asyncio.Condition() for _ in range(scenario.nodes)]
         self._delay_stream = scenario.stream("lists")
 
@@ -148,7 +157,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, IndexError, asyncio.CancelledError):
             while head := await reader.readuntil(b"\r\n\r\n"):
                 self.observations.discovery_calls.append((self.clock(), node))
-                is_continued = self.clock() - self._answered_s[node] < CONTINUATION_S
+                is_continued = loop_time_s() - self._answered_s[node] < CONTINUATION_S
                 if self.faults[node].is_unavailable or not (is_continued or await self._wait_for_turn()):
                     writer.write(UNAVAILABLE)
                     break
@@ -174,8 +183,8 @@
         if faults.has_invalid_entry:
             document["targets"] = self._with_invalid_entry(node)
         await self._send(writer, document, PIECES if faults.is_in_pieces else 1)
-        self._answered_s[node] = self.clock()
-        self.observations.discovery_answers.append((self._answered_s[node], node))
+        self._answered_s[node] = loop_time_s()
+        self.observations.discovery_answers.append((self.clock(), node))
         self.record_view(node)
 
     def record_reload(self, node: int) -> None:
@@ -195,10 +204,10 @@
         refused at once costs nothing.
         """
         capacity = self.scenario.discovery
-        wait_s = max(0.0, self._free_at_s - self.clock())
+        wait_s = max(0.0, self._free_at_s - loop_time_s())
         if wait_s > 2 * capacity.longest_wait_s:
             return False
-        self._free_at_s = self.clock() + wait_s + capacity.service_s
+        self._free_at_s = loop_time_s() + wait_s + capacity.service_s
         await asyncio.sleep(min(wait_s + capacity.service_s, capacity.longest_wait_s))
         return wait_s <= capacity.longest_wait_s
 
--- a/tests/test_fleet_invariants.py
+++ b/tests/test_fleet_invariants.py
@@ -220,6 +220,20 @@
     assert asyncio.run(call_at_once(5)) == [True, True, False, False, False]
 
 
+def test_queue_at_discovery_is_as_long_after_the_clock_of_the_run_begins_anew() -> None:
+    # The run's clock begins anew after the first calls: it made their queue seem as much longer.
+    async def call_after_restart() -> float:
+        clock = RunClock()
+        scenario = parse('name = "x"\n[discovery]\nservice_s = 0.1\nlongest_wait_s = 5.0')
+        server = DiscoveryServer(scenario, Observations(), clock)
+        await asyncio.gather(*(server._wait_for_turn() for _ in range(5)))
+        clock.restart()
+        assert await server._wait_for_turn()
+        return clock()
+
+    assert asyncio.run(call_after_restart()) < 0.3
+
+
 def test_drain_notice_counts_for_the_node_that_got_it() -> None:
     observations = with_attempts(Attempt(1, 0, "s", 9.0, 9.0))
     observations.record_state(1, "s", "DRAINING", 5.0)
