Discovery: calls that waited in vain spread over the longest back-off

Cause: discovery_poller drew the first back-off from a fifth of the longest (0.36 to 0.72 s for 24 balancers), whatever the call had met. Trace: 10 calls that had waited 2 s in vain came again within 0.35 s of each other, met a queue of about 4 s and failed again; each failed call takes its turn all the same, so they kept the queue over 2 s until 7.7 s.

One refused at once, or a watch that broke off, is repeated as before.

--- a/tests/test_discovery_poller.py
+++ b/tests/test_discovery_poller.py
@@ -59,3 +59,41 @@
     assert parts.context.actions == []
     poller.handle_timer_fired(2)
     assert parts.context.actions == [Watch(True)]
+
+
+def delay_after_failure(poller: DiscoveryPoller, parts: Parts, after_ns: int) -> int:
+    """The back-off after a call that failed so long after it began."""
+    parts.begin_step(parts.context.now + after_ns)
+    poller.handle_list_failed()
+    (timer,) = parts.context.actions
+    assert isinstance(timer, SetTimer)
+    return timer.delay_ns
+
+
+def test_calls_that_waited_in_vain_spread_over_the_longest_back_off() -> None:
+    # All that had failed together came again within 0.4 s, and their turns kept discovery crowded.
+    delays = []
+    for seed in range(200):
+        parts = Parts(discovery="ask", balancers=24, rules={"mustAskInNs": 10 * S})
+        parts.context.random.seed(seed)
+        poller = DiscoveryPoller(parts.context)
+        poller.poll_once()
+        delays.append(delay_after_failure(poller, parts, after_ns=2 * S))
+    assert 1080 * MS <= min(delays) < 1500 * MS
+    assert 3200 * MS < max(delays) <= 3600 * MS
+
+
+def test_call_that_waited_in_vain_is_repeated_in_time_for_what_must_be_known() -> None:
+    parts = Parts(discovery="ask", balancers=200, rules={"mustAskInNs": 10 * S})
+    poller = DiscoveryPoller(parts.context)
+    poller.poll_once()
+    assert delay_after_failure(poller, parts, after_ns=2 * S) <= 4 * S
+
+
+def test_call_that_was_refused_at_once_or_was_a_watch_is_repeated_soon() -> None:
+    parts = Parts(discovery="ask", balancers=24, rules={"mustAskInNs": 10 * S})
+    poller = DiscoveryPoller(parts.context)
+    poller.poll_once()
+    assert delay_after_failure(poller, parts, after_ns=10 * MS) <= 720 * MS
+    poller.handle_list_received()
+    assert delay_after_failure(poller, parts, after_ns=2 * S) <= 720 * MS
