Rig: a dead caller is notified of nothing, and a slow start is an outage

An answer to a caller that has ended counts no more.

test_list_that_is_sent_to_a_caller_that_has_ended_notifies_nobody failed before (1 notice).

--- a/rig/fleet/fault_injection.py
+++ b/rig/fleet/fault_injection.py
@@ -115,9 +115,16 @@
             node.is_believed_up = False
             process.terminate()
         await process.wait()
+        ended_s = self.deployment.clock()
         if fault.duration_s:
             await asyncio.sleep(fault.duration_s)
             await node.start()
+            self._record_outage_until_now(node, ended_s)
+
+    def _record_outage_until_now(self, node: NodeProcess, since_s: float) -> None:
+        """A node that starts again has an outage until it is ready, however long its start takes."""
+        outages = self.deployment.observations.node_outages[node.number]
+        outages.append(Interval(since_s, self.deployment.clock()))
 
     async def _terminate_node(self, node: NodeProcess, fault: Fault) -> None:
         """SIGTERM, some more of them, and SIGKILL at the earliest; then a start with the file of before.
@@ -144,6 +151,7 @@
         await process.wait()
         await asyncio.sleep(fault.duration_s)
         await node.start(has_old_file=True)
+        self._record_outage_until_now(node, begin_s)
 
     async def _reload_node(self, node: NodeProcess, fault: Fault) -> None:
         """SIGHUP in a row, each with a new address of discovery where it moves."""
--- a/rig/fleet/model_discovery.py
+++ b/rig/fleet/model_discovery.py
@@ -168,6 +168,8 @@
                     if self.faults[node].is_unavailable:  # a watch ends when discovery goes down
                         writer.write(UNAVAILABLE)
                         break
+                if reader.at_eof():  # the caller has ended: a list that is sent to it notifies nobody
+                    break
                 await self._send_document(writer, node)
         writer.close()
 
--- a/tests/test_fleet_invariants.py
+++ b/tests/test_fleet_invariants.py
@@ -264,3 +264,24 @@
     assert InvariantChecker(observations, 0.5).violations() == [
         Violation("parallel-attempts", "1 at a and b")
     ]
+
+
+def test_list_that_is_sent_to_a_caller_that_has_ended_notifies_nobody() -> None:
+    # A watch of a killed process was answered, and its successor counted as notified.
+    async def change_after_caller_ended() -> int:
+        observations = Observations()
+        server = DiscoveryServer(parse('name = "x"\nnodes = 1'), observations, RunClock())
+        server.views[0] = {"s": {"state": "SERVING"}}
+        server.record_view(0)
+        await server.open()
+        _, writer = await asyncio.open_connection("127.0.0.1", server.listeners.ports[0])
+        writer.write(b"GET /catalog/members?since=1&timeout_ms=5000 HTTP/1.1\r\n\r\n")
+        await asyncio.sleep(0.1)
+        writer.close()
+        await writer.wait_closed()
+        await asyncio.gather(*server.publish(lambda node: {"s": {"state": "DRAINING"}}))
+        await asyncio.sleep(0.1)
+        server.close()
+        return len(observations.drain_notices[0, "s"])
+
+    assert asyncio.run(change_after_caller_ended()) == 0
