--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,6 +20,7 @@
     Record,
     Server,
     accepts,
+    check_all_served,
     free_port,
     run_case,
     until,
@@ -75,6 +76,7 @@
     clients = [Client(record, f"c{number}", n1, servers, number) for number in range(1, 9)]
     running = [asyncio.create_task(client.run()) for client in clients]
     await asyncio.sleep(1.0)
+    check_all_served(clients)
 
     new = await n1.start()  # the platform replaces the process
     end_of_old = asyncio.create_task(old.replace_after(5.5))
@@ -103,4 +105,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, case))
+    sys.exit(run_case(FOLDER / "record.txt", case))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,6 +18,7 @@
     Proxy,
     Record,
     Server,
+    check_all_served,
     run_case,
     service,
 )
@@ -58,7 +59,7 @@
     proxy.broker_toml = CONTRACTS
     proxy.write_config(former)
     process = await proxy.start()
-    clients = [Client(record, f"c{number}", proxy, servers, number) for number in range(1, 5)]
+    clients = [Client(record, f"c{number}", proxy, servers, number) for number in range(1, 9)]
     running = [asyncio.create_task(client.run()) for client in clients]
     await asyncio.sleep(2.0)
 
@@ -68,26 +69,28 @@
     reload(process, discovery, with_plan_set=not TROUBLE, attempts=FEWER_ATTEMPTS)
     await former.retire()
     await asyncio.sleep(1.0)
-    draining = servers[0]
+    check_all_served(clients)
+    draining = max(servers, key=lambda server: len(server.open))
     draining.state = "DRAINING"
     await discovery.publish()
     record.note(f"discovery: lists {draining.uid} as draining")
     await asyncio.sleep(TOLD_S + GRACE_S)
+    forbidden_from_s = record.now()
     record.note(f"from now on nothing new may go to {draining.uid}")
-    sent_before = set(draining.open)
     late = [Client(record, f"late{number}", proxy, servers, number) for number in range(10, 40)]
     for client in late:
         running.append(asyncio.create_task(client.run()))
         await asyncio.sleep(0.2)
     await asyncio.sleep(2.0)
-    sent_late = sorted(set(draining.open) - sent_before)
+    check_all_served(late)
+    sent_late = [request_id for sent_s, request_id in draining.sent if sent_s > forbidden_from_s]
     if sent_late:
-        record.broken(f"{len(sent_late)} new connections sent to {draining.uid}, which drains: {sent_late}")
+        record.broken(f"{len(sent_late)} requests sent to {draining.uid}, which drains: {sent_late}")
         record.note(f"last words of the proxy: {process.last_log_line()}")
     draining.server.close()
     for request_id, writer in list(draining.open.items()):
         draining.ended.add(request_id)
-        record.note(f"server {draining.uid}: stops; its connection {request_id} ends")
+        record.broken(f"{draining.uid} stops; the client of {request_id} was never told to move")
         writer.transport.abort()
     await asyncio.sleep(1.0)
     for client in (*clients, *late):
@@ -96,4 +99,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, case))
+    sys.exit(run_case(FOLDER / "record.txt", case))
--- a/review/standins.py
+++ b/review/standins.py
@@ -23,7 +23,11 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BROKEN, HELD, NOT_RUN = 1, 0, 2
+# Exit statuses of a case's program. run.sh makes 1 of BROKEN and 2 of all others, a traceback's 1 included.
+BROKEN, HELD, NOT_RUN = 3, 0, 2
+# The descriptor as which each process inherits the clients' listening socket; reserved here before any other.
+LISTEN_FD = 3
+os.dup2(os.open(os.devnull, os.O_RDONLY), LISTEN_FD)
 MS = 1_000_000
 S = 1_000_000_000
 
@@ -35,9 +39,9 @@
 class Record:
     """What was sent, answered and run, with the seconds since the start of the case."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self.began = time.monotonic()
-        self.file = (folder / "record.txt").open("w", encoding="utf-8")
+        self.file = path.open("w", encoding="utf-8")
         self.violations: list[str] = []
 
     def now(self) -> float:
@@ -131,6 +135,7 @@
         self.state = "SERVING"
         self.port = 0
         self.open: dict[str, asyncio.StreamWriter] = {}
+        self.sent: list[tuple[float, str]] = []  # request lines that came, with their times
         self.ended: set[str] = set()  # connections that this server ended itself
 
     async def start(self) -> None:
@@ -165,7 +170,13 @@
         """Answer a request line, then return each line of its client."""
         request_id = line.split()[1].decode()
         self.record.note(f"server {self.uid}: got {line.decode().strip()}")
+        self.sent.append((self.record.now(), request_id))
+        if self.state == "DRAINING":  # it wants nothing new
+            self.record.note(f"server {self.uid}: drains, answers {request_id} with BUSY")
+            writer.write(b"BUSY\r\n")
+            return
         self.open[request_id] = writer
+        self.record.note(f"server {self.uid}: runs {request_id}, answers UP")
         writer.write(f"UP {self.uid}-{request_id}\r\n".encode())
         while message := await reader.readline():
             writer.write(message)
@@ -274,6 +285,7 @@
         self.admin_port = free_port(proxy.address[0])
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
         self.log = proxy.folder / f"log-{len(proxy.processes) + 1}.txt"
+        os.dup2(proxy.listener.fileno(), LISTEN_FD)
         with self.log.open("w") as log:
             self.popen = subprocess.Popen(
                 ["/bin/sh", "-c", deploy["run"]],
@@ -282,7 +294,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                pass_fds=[proxy.listener.fileno()],
+                pass_fds=[LISTEN_FD],
             )
         self.record.note(f"platform: started {self.label}")
 
@@ -294,7 +306,7 @@
             "GW_NAME": proxy.name,
             "GW_LISTEN": "{}:{}".format(*proxy.address),
             "GW_CONFIG": str(proxy.folder / "config.json"),
-            "GW_LISTEN_FD": str(proxy.listener.fileno()),
+            "GW_LISTEN_FD": str(LISTEN_FD),
             "GW_ADMIN_ADDR": f"{proxy.address[0]}:{self.admin_port}",
             "LINNETSHIFT_BROKER": str(proxy.folder / "broker.toml"),
             "TMPDIR": str(proxy.folder),
@@ -354,19 +366,19 @@
         self.ids = iter(range(number << 20, (number + 1) << 20))
         self.key = 0x7F3A9C21E0B4D655 + number * 0x9E3779B9
         self.stopped = False
+        self.wait_s = 0.4
         self.served = 0  # times that it got UP
         self.cut: list[str] = []  # how connections ended that neither MOVE nor the server ended
 
     async def run(self) -> None:
         """Open connections, one after the other, until the case ends."""
-        suffix = ""
         while not self.stopped:
+            self.wait_s = 0.4  # after a break clients come again within 130 to 1,900 ms
             with contextlib.suppress(OSError):
                 reader, writer = await asyncio.open_connection(*self.proxy.address)
-                await self.use(reader, writer, suffix)
+                await self.use(reader, writer, ",again=1" if self.served else "")
                 writer.close()
-            suffix = ",again=1"
-            await asyncio.sleep(0.4)
+            await asyncio.sleep(self.wait_s)
 
     async def use(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, suffix: str) -> None:
         """Send the request line, and use the connection until it ends."""
@@ -377,6 +389,9 @@
         answer = await self.read_line(reader, 3.5)
         self.record.note(f"client {self.name}: answer to {request_id}: {answer!r}")
         if not answer.startswith("UP "):
+            keyword, _, wait_ms = answer.partition(" ")
+            if keyword == "BUSY" and wait_ms.isdigit():
+                self.wait_s = max(self.wait_s, int(wait_ms) / 1000)
             return
         self.served += 1
         ended = await self.talk(reader, writer)
@@ -438,9 +453,15 @@
 Case = Callable[[Record, Path, list[Proxy]], Coroutine[Any, Any, None]]
 
 
-def run_case(folder: Path, case: Case, limit_s: float = 110.0) -> int:
-    """Run a case in a temporary folder, end all processes, and return the exit status of its script."""
-    record = Record(folder)
+def check_all_served(clients: list[Client]) -> None:
+    """Raise CannotRunError if a client was never served: the rule would hold for nothing."""
+    if unserved := [client.name for client in clients if not client.served]:
+        raise CannotRunError(f"clients never served: {unserved}")
+
+
+def run_case(record_path: Path, case: Case, limit_s: float = 110.0) -> int:
+    """Run a case in a temporary folder, end all processes, and return the exit status of its program."""
+    record = Record(record_path)
     record.note(f"trouble: {'yes' if TROUBLE else 'no'}")
     proxies: list[Proxy] = []
     status = NOT_RUN
