VRRP: a router that cannot listen for channels lives on, and leaves the role to a peer

Callers saw: as the router became active while its channels address was in use, its process ended with status 1 and every client was cut off without MOVE.

Cause: the OSError of bind passed from the listener through Vrrp._report_state out of the actor, whose fault ends the program (event_loop/actor.py). Containing it there would leave an active router that refuses channels and keeps the role from its peers.

Change: the router asks for the listener before it becomes active. Where that fails it stays a backup that advertises nothing, so that a peer becomes active, logs address and cause once, tells it at /ops/readiness, and retries after 20 ms, doubled up to 250 ms. A role that it held already it releases with priority 0. So the role is never held without a listener.

--- a/linnetshift/frontends/listener.py
+++ b/linnetshift/frontends/listener.py
@@ -45,10 +45,11 @@
         inherited: socket.socket | None = None,
         free_descriptor: Callable[[], bool] | None = None,
     ) -> None:
-        """Start accepting, on a new socket bound to `address` unless one is inherited; raises OSError.
+        """Start accepting, on a new socket bound to `address` unless one is inherited, which it then owns.
 
-        `on_accept` takes ownership of the socket that it is passed. `free_descriptor` is called when no
-        descriptor is free, and returns whether one may be free now; by default it is the loop's.
+        Raises OSError; the socket is closed then. `on_accept` takes ownership of the socket that it is
+        passed. `free_descriptor` is called when no descriptor is free, and returns whether one may be free
+        now; by default it is the loop's.
         """
         self.loop = loop
         self.address = address
@@ -57,8 +58,12 @@
         self.is_paused = False
         self.is_inherited = inherited is not None
         self.listener = inherited if inherited is not None else _open_listener(address)
-        self.listener.setblocking(False)
-        self._watch()
+        try:
+            self.listener.setblocking(False)
+            self._watch()
+        except OSError:
+            self.listener.close()
+            raise
 
     @property
     def is_open(self) -> bool:
--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -5,10 +5,11 @@
 import socket
 
 from linnetshift.broker.broker import Broker
-from linnetshift.event_loop.address import Address
+from linnetshift.event_loop.address import Address, format_address
 from linnetshift.event_loop.loop import Loop
 from linnetshift.frontends.channels.frontend import ChannelsFrontend
 from linnetshift.lifecycle.graceful_shutdown import ChannelMigrator
+from linnetshift.observability import log
 from linnetshift.vrrp.instance import Vrrp
 from linnetshift.vrrp.router import State, VrrpConfig
 
@@ -20,7 +21,7 @@
 class ChannelsActivation:
     """Opens and closes the listener of the channels frontend.
 
-    It owns the VRRP instance and the sockets that a predecessor passed on.
+    It owns the VRRP instance and the sockets that a predecessor passed on; it is the instance's `ActiveRole`.
     """
 
     def __init__(
@@ -38,12 +39,13 @@
         self.address = address
         self.inherited_sockets = inherited_sockets
         self.vrrp: Vrrp | None = None
+        self.listen_error = ""  # why the last attempt to listen failed
 
     def start(self, vrrp: VrrpConfig | None, was_active: bool) -> None:
         """Listen, or start VRRP, as the active router if the predecessor was; raises OSError."""
         if vrrp is not None:
             inherited = self.inherited_sockets.pop(VRRP_SOCKET, None)
-            self.vrrp = Vrrp(self.loop, vrrp, self.handle_vrrp_change, inherited, was_active)
+            self.vrrp = Vrrp(self.loop, vrrp, self, inherited, was_active)
             self.vrrp.start(self.vrrp.run())
         elif self.address is not None:
             self._listen(self.address)
@@ -72,12 +74,46 @@
         # A closed socket, as VRRP's is once it has stopped, has the descriptor -1.
         return {name: descriptor for name, descriptor in descriptors.items() if descriptor >= 0}
 
-    def handle_vrrp_change(self, is_active: bool) -> None:
-        """Listen while this proxy is the active router; migrate the channels once it no longer is."""
-        if not is_active:
-            self.migrate_channels()
-        elif self.address is not None:
+    def start_serving(self) -> bool:
+        """Listen, where channels are enabled; log a failure and return False.
+
+        It is called before the peers are notified: clients directed to the active proxy may connect at once.
+        """
+        if self.address is None:
+            return True
+        try:
             self._listen(self.address)
+        except OSError as error:
+            self._handle_listen_failure(self.address, error)
+            return False
+        self._handle_listen_success(self.address)
+        return True
+
+    def stop_serving(self) -> None:
+        """Stop listening and migrate the channels, as another proxy is the active router."""
+        self.migrate_channels()
+
+    @property
+    def is_retrying(self) -> bool:
+        """Whether this proxy is due to listen, and retries as its last attempt failed."""
+        return self.vrrp is not None and self.vrrp.router.is_retrying
+
+    def not_listening_reason(self) -> str:
+        """Why this proxy cannot accept channels although it is due to; empty otherwise."""
+        if not self.is_retrying or self.address is None:
+            return ""
+        return f"cannot listen for channels on {format_address(self.address)}: {self.listen_error}"
+
+    def _handle_listen_failure(self, address: Address, error: OSError) -> None:
+        """Log the failure, once for each cause while attempts are repeated."""
+        cause = error.strerror or str(error)
+        if not self.is_retrying or cause != self.listen_error:
+            log.info("channels-listener-unavailable", address=format_address(address), error=cause)
+        self.listen_error = cause
+
+    def _handle_listen_success(self, address: Address) -> None:
+        if self.is_retrying:
+            log.info("channels-listener-opened", address=format_address(address))
 
     def migrate_channels(self) -> None:
         """Stop listening, and migrate the established channels, see `ChannelMigrator`."""
--- a/linnetshift/proxy.py
+++ b/linnetshift/proxy.py
@@ -235,7 +235,9 @@
             return "taking over"
         if not self.broker.administrative_drains.listed:
             return "waiting for the list of providers"
-        return "" if self.frontend.address is not None else "not listening"
+        if self.frontend.address is None:
+            return "not listening"
+        return self.activation.not_listening_reason()
 
     def resource_usage(self) -> dict[str, ResourceUsage]:
         """Size and bound of every container that lives as long as the process, as in docs/memory.md."""
--- a/linnetshift/vrrp/instance.py
+++ b/linnetshift/vrrp/instance.py
@@ -8,13 +8,13 @@
 
 import select
 import socket
-from collections.abc import Callable
+from typing import Protocol
 
 from linnetshift.event_loop.actor import Actor, ActorCoroutine, Io
 from linnetshift.event_loop.loop import Loop
 from linnetshift.event_loop.timers import MS, Timeout, Timer
 from linnetshift.observability import log
-from linnetshift.vrrp.protocol import PRIORITY_RELEASED, Advertisement, AdvertisementError
+from linnetshift.vrrp.protocol import Advertisement, AdvertisementError
 from linnetshift.vrrp.router import Router, State, VrrpConfig
 
 CENTISECOND_NS = 10 * MS
@@ -24,14 +24,24 @@
 MAX_DATAGRAMS_PER_READ = 32
 
 
+class ActiveRole(Protocol):
+    """What the active router does for clients; `ChannelsActivation` implements it."""
+
+    def start_serving(self) -> bool:
+        """Serve clients; returns False where that fails, and this router must not become active."""
+
+    def stop_serving(self) -> None:
+        """Stop serving clients, as this router is no longer active."""
+
+
 class Vrrp(Actor):
-    """A router with its socket and timer; calls `on_active_change` with whether this proxy is active."""
+    """A router with its socket and timer."""
 
     def __init__(
         self,
         loop: Loop,
         config: VrrpConfig,
-        on_active_change: Callable[[bool], None],
+        role: ActiveRole,
         inherited_socket: socket.socket | None = None,
         starts_active: bool = False,
     ) -> None:
@@ -42,10 +52,10 @@
         """
         super().__init__(loop)
         self.config = config
-        self.on_active_change = on_active_change
+        self.role = role
         self.starts_active = starts_active
         self.is_paused = False
-        self.router = Router(config, self._send, self._set_router_timer)
+        self.router = Router(config, self._send, self._set_router_timer, role.start_serving)
         self.reported_state = self.router.state
         self.timer: Timer | None = None
         self.timer_tag: object = None  # of `timer`; a timeout with another tag is from a replaced timer
@@ -63,7 +73,7 @@
     def run(self) -> ActorCoroutine:
         """Pass timers and advertisements to the router until the actor is ended."""
         if self.starts_active:
-            self.router.become_active()
+            self.router.continue_active()
         else:
             self.router.start()
         while True:
@@ -86,9 +96,10 @@
         self.is_paused = False
         self._watch_socket()
         if self.router.state is State.ACTIVE:
-            self.router.advertise()
+            self.router.continue_active()
         else:
             self.router.become_backup(self.config.interval_cs)
+        self._report_state()
 
     def stop(self) -> None:
         """Shut down; an active router first advertises that it stops."""
@@ -99,20 +110,17 @@
         self.end()
 
     def _report_state(self) -> None:
-        """Log a change of state, and report a change to or from active."""
+        """Log a change of state, and stop serving when the router is no longer active."""
         previous = self.reported_state
         state = self.router.state
         if state is previous:
             return
         self.reported_state = state
         log.info("vrrp-state-changed", state=state, vrid=self.config.vrid)
-        if State.ACTIVE in (previous, state):
-            self.on_active_change(state is State.ACTIVE)
+        if previous is State.ACTIVE:
+            self.role.stop_serving()
 
     def _send(self, priority: int) -> None:
-        if priority != PRIORITY_RELEASED:
-            # Before the peers are notified: clients directed to the active proxy may connect at once.
-            self._report_state()
         config = self.config
         datagram = Advertisement(config.vrid, priority, config.interval_cs, config.addresses).encode()
         for peer in config.peers:
--- a/linnetshift/vrrp/router.py
+++ b/linnetshift/vrrp/router.py
@@ -10,6 +10,11 @@
 from linnetshift.event_loop.address import Address
 from linnetshift.vrrp.protocol import PRIORITY_OWNER, PRIORITY_RELEASED, Advertisement
 
+# Bounds of the back-off between two attempts to start serving, in centiseconds: the first is short, as an
+# exiting process frees its address at once, and the longest too, as clients are refused meanwhile.
+MIN_RETRY_CS = 2
+MAX_RETRY_CS = 25
+
 
 class State(Enum):
     """The states of section 6.4; the values appear in the log."""
@@ -32,19 +37,28 @@
 
 
 class Router:
-    """One virtual router: is notified of timers and advertisements, and acts through two callbacks.
+    """One virtual router: is notified of timers and advertisements, and acts through three callbacks.
 
     `send` takes the priority to advertise. `set_timer` takes the centiseconds until `handle_timer` and
     replaces an earlier timer: each state has one timer, the Adver_Timer or the Active_Down_Timer.
+    `start_serving` is called before the router becomes active. Where it returns False the router remains a
+    backup that advertises nothing, so that a peer becomes active, and retries.
     """
 
     def __init__(
-        self, config: VrrpConfig, send: Callable[[int], None], set_timer: Callable[[float], None]
+        self,
+        config: VrrpConfig,
+        send: Callable[[int], None],
+        set_timer: Callable[[float], None],
+        start_serving: Callable[[], bool] = lambda: True,
     ) -> None:
         """A router in the initialize state."""
         self.config = config
         self.send = send
         self.set_timer = set_timer
+        self.start_serving = start_serving
+        self.is_retrying = False  # due to become active, but `start_serving` failed
+        self.retry_cs = MIN_RETRY_CS
         self.state = State.INITIALIZE
         # The active router's interval in centiseconds, as it was last advertised (Active_Adver_Interval).
         self.active_interval_cs = config.interval_cs
@@ -107,13 +121,34 @@
     def become_backup(self, active_interval_cs: int) -> None:
         """Become a backup, and wait for advertisements of an active router with this interval."""
         self.state = State.BACKUP
+        self._reset_retry()
         self.active_interval_cs = active_interval_cs
         self.set_timer(self.active_down_interval_cs)
 
     def become_active(self) -> None:
-        """Become the active router, and advertise it."""
-        self.state = State.ACTIVE
-        self.advertise()
+        """Become the active router and advertise it, or retry later where it cannot serve."""
+        if self.start_serving():
+            self.state = State.ACTIVE
+            self._reset_retry()
+            self.advertise()
+        else:
+            self._retry_later()
+
+    def continue_active(self) -> None:
+        """Become active in a role that peers count as taken; release it where this router cannot serve."""
+        self.become_active()
+        if self.is_retrying:
+            self.send(PRIORITY_RELEASED)
+
+    def _retry_later(self) -> None:
+        self.state = State.BACKUP
+        self.is_retrying = True
+        self.set_timer(self.retry_cs)
+        self.retry_cs = min(2 * self.retry_cs, MAX_RETRY_CS)
+
+    def _reset_retry(self) -> None:
+        self.is_retrying = False
+        self.retry_cs = MIN_RETRY_CS
 
     def advertise(self) -> None:
         """Send an advertisement, and set the timer for the next."""
--- a/tests/test_channels_activation.py
+++ b/tests/test_channels_activation.py
@@ -33,11 +33,11 @@
     """A VRRP instance that keeps the role with which it starts."""
 
     def __init__(
-        self, _loop: Any, _config: Any, _on_change: Any, inherited: socket.socket | None, is_active: bool
+        self, _loop: Any, _config: Any, _role: Any, inherited: socket.socket | None, is_active: bool
     ) -> None:
         self.inherited = inherited
         self.sock = inherited
-        self.router = SimpleNamespace(state=State.ACTIVE if is_active else State.BACKUP)
+        self.router = SimpleNamespace(state=State.ACTIVE if is_active else State.BACKUP, is_retrying=False)
 
     def run(self) -> None:
         """Nothing to run."""
@@ -68,7 +68,7 @@
     channels = activation(frontend, {})
     channels.start(VRRP_CONFIG, False)
     assert (frontend.listened, channels.is_vrrp_active, channels.may_open_listener) == ([], False, False)
-    channels.handle_vrrp_change(True)
+    assert channels.start_serving()
     assert frontend.listened == [(ADDRESS, None)]
     assert channels.may_open_listener
 
--- a/tests/test_vrrp.py
+++ b/tests/test_vrrp.py
@@ -35,11 +35,12 @@
 class RouterHarness:
     """A router that records the priorities sent and the timers set."""
 
-    def __init__(self, priority: int, preempt: bool = True) -> None:
+    def __init__(self, priority: int, preempt: bool = True, can_serve: bool = True) -> None:
         self.sent: list[int] = []
         self.timers_cs: list[float] = []
+        self.can_serve = can_serve
         config = VrrpConfig(7, priority, 100, preempt, ("10.0.0.2", 1), (), ())
-        self.router = Router(config, self.sent.append, self.timers_cs.append)
+        self.router = Router(config, self.sent.append, self.timers_cs.append, lambda: self.can_serve)
         self.router.start()
 
     def receive(self, priority: int, interval_cs: int = 100, sender: str = "10.0.0.1") -> None:
@@ -101,6 +102,33 @@
     assert harness.sent == ([255, 0] if is_active else [])
 
 
+def test_router_that_cannot_serve_advertises_nothing_and_retries_with_a_bounded_back_off() -> None:
+    harness = RouterHarness(100, can_serve=False)
+    for _ in range(8):
+        harness.router.handle_timer()
+    assert (harness.router.state, harness.sent) == (State.BACKUP, [])
+    assert harness.timers_cs[1:] == [2, 4, 8, 16, 25, 25, 25, 25]
+    harness.receive(99)  # a peer of lower priority serves meanwhile: still due to become active
+    assert harness.router.is_retrying
+    harness.can_serve = True
+    harness.router.handle_timer()
+    assert (harness.router.state, harness.sent) == (State.ACTIVE, [100])
+
+
+def test_router_that_cannot_serve_is_an_ordinary_backup_once_a_peer_has_precedence() -> None:
+    harness = RouterHarness(100, can_serve=False)
+    harness.router.handle_timer()
+    harness.receive(100)
+    assert not harness.router.is_retrying
+    assert harness.timers_cs[-1] == harness.timers_cs[0]
+
+
+def test_router_that_cannot_continue_in_the_active_role_releases_it() -> None:
+    harness = RouterHarness(100, can_serve=False)
+    harness.router.continue_active()
+    assert (harness.router.state, harness.sent) == (State.BACKUP, [0])
+
+
 def test_channels_frontend_listens_only_while_active(tmp_path: Path) -> None:
     peer_router = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     peer_router.bind(("127.0.0.1", 0))
