Hot restart: a replaced process closes its channels listener instead of pausing it

While it was a backup, clients that connected for channels waited in the queue of a listener from which nobody accepted.

Cause: the replaced process kept its duplicate of the listener, paused, until it exited, up to 9 s later. The address stayed in use, and the kernel completed connections on it.

Change: it closes the listener as it yields; the successor has its own duplicate. If the successor disconnects it binds the address anew, with a back-off of 20 to 250 ms.

Evidence: test_role_is_lost_and_won_again_while_the_predecessor_lives fails on ('clients are accepted, or wait in a queue') and passes now. Successors that die are covered with and without VRRP.

--- a/linnetshift/frontends/channels/frontend.py
+++ b/linnetshift/frontends/channels/frontend.py
@@ -44,11 +44,15 @@
         self.close()
         self._drain_sessions()
 
-    def set_paused(self, is_paused: bool) -> None:
-        """Leave new sessions to the successor and drain the open ones, or accept sessions again."""
-        super().set_paused(is_paused)
-        if is_paused:
-            self._drain_sessions()
+    def yield_to_successor(self) -> None:
+        """Close this process's descriptor of the listener, and drain the open sessions.
+
+        The connections that wait in the queue are the successor's. Paused but open, the listener would keep
+        its address in use and let clients wait once the successor has closed its own descriptor.
+        """
+        if self.acceptor is not None:
+            self.acceptor.set_paused(True)
+        self.drain()
 
     def _drain_sessions(self) -> None:
         for session in self.sessions:
--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -7,15 +7,20 @@
 from linnetshift.broker.broker import Broker
 from linnetshift.event_loop.address import Address, format_address
 from linnetshift.event_loop.loop import Loop
+from linnetshift.event_loop.timers import MS, Timer
 from linnetshift.frontends.channels.frontend import ChannelsFrontend
 from linnetshift.lifecycle.graceful_shutdown import ChannelMigrator
 from linnetshift.observability import log
+from linnetshift.util.backoff import Backoff
 from linnetshift.vrrp.instance import Vrrp
 from linnetshift.vrrp.router import State, VrrpConfig
 
 # Names of the descriptors that are passed to a successor.
 CHANNELS_SOCKET = "channels"
 VRRP_SOCKET = "vrrp"
+# Bounds of the back-off between two attempts to listen again; clients are refused meanwhile.
+MIN_LISTEN_RETRY_NS = 20 * MS
+MAX_LISTEN_RETRY_NS = 250 * MS
 
 
 class ChannelsActivation:
@@ -40,6 +45,8 @@
         self.inherited_sockets = inherited_sockets
         self.vrrp: Vrrp | None = None
         self.listen_error = ""  # why the last attempt to listen failed
+        self.retry_timer: Timer | None = None  # without VRRP: until the next attempt to listen
+        self.retry_backoff = Backoff(MIN_LISTEN_RETRY_NS, MAX_LISTEN_RETRY_NS)
 
     def start(self, vrrp: VrrpConfig | None, was_active: bool) -> None:
         """Listen, or start VRRP, as the active router if the predecessor was; raises OSError."""
@@ -96,7 +103,9 @@
     @property
     def is_retrying(self) -> bool:
         """Whether this proxy is due to listen, and retries as its last attempt failed."""
-        return self.vrrp is not None and self.vrrp.router.is_retrying
+        if self.vrrp is not None:
+            return self.vrrp.router.is_retrying
+        return self.retry_timer is not None
 
     def not_listening_reason(self) -> str:
         """Why this proxy cannot accept channels although it is due to; empty otherwise."""
@@ -121,20 +130,37 @@
         migrator = ChannelMigrator(self.loop, self.broker, self.frontend)
         migrator.start(migrator.run())
 
-    def pause_vrrp(self) -> None:
-        """Leave the VRRP role to another process of this proxy."""
+    def yield_to_successor(self) -> None:
+        """Leave the listener and the VRRP role to the successor, which has received the descriptors."""
+        self._cancel_retry()
         if self.vrrp is not None:
             self.vrrp.pause()
+        self.frontend.yield_to_successor()
 
-    def resume_vrrp(self) -> None:
-        """Resume the VRRP role, as the other process has disconnected."""
+    def resume(self) -> None:
+        """Resume the VRRP role, or listen again, as the successor has disconnected."""
         if self.vrrp is not None:
             self.vrrp.resume()
+        else:
+            self._listen_or_retry()
 
-    def stop_vrrp(self) -> None:
-        """Release the role of the active router, as this proxy shuts down."""
+    def stop(self) -> None:
+        """Release the role of the active router, as this proxy shuts down; a listener stays open."""
+        self._cancel_retry()
         if self.vrrp is not None:
             self.vrrp.stop()
 
+    def _listen_or_retry(self) -> None:
+        if self.start_serving():
+            self._cancel_retry()
+        else:
+            self.retry_timer = self.loop.call_later(self.retry_backoff.next_delay(), self._listen_or_retry)
+
+    def _cancel_retry(self) -> None:
+        self.retry_backoff.reset()
+        if self.retry_timer is not None:
+            self.retry_timer.cancel()
+            self.retry_timer = None
+
     def _listen(self, address: Address) -> None:
         self.frontend.listen(address, self.inherited_sockets.pop(CHANNELS_SOCKET, None))
--- a/linnetshift/lifecycle/local_process.py
+++ b/linnetshift/lifecycle/local_process.py
@@ -62,24 +62,20 @@
 
     def yield_to_successor(self) -> None:
         """Leave new connections to the successor and migrate the clients to it."""
-        self._set_frontends_paused(True)
+        self.frontend.set_paused(True)
+        self.activation.yield_to_successor()
         if self.shutdown.is_terminating:
             return  # the clients are being migrated already
-        self.activation.pause_vrrp()
         self.shutdown.shut_down_replaced()
 
     def resume_accepting(self) -> None:
         """Accept connections again and keep the clients, as the successor has disconnected."""
         if self.shutdown.is_terminating:
             return  # a process that is about to exit must not accept again
-        self._set_frontends_paused(False)
-        self.activation.resume_vrrp()
+        self.frontend.set_paused(False)
+        self.activation.resume()
         self.shutdown.cancel()
 
-    def _set_frontends_paused(self, is_paused: bool) -> None:
-        self.frontend.set_paused(is_paused)
-        self.activation.frontend.set_paused(is_paused)
-
     def apply_administrative_drain(
         self, endpoint: bytes, is_drained: bool, on_applied: Callable[[], None]
     ) -> None:
--- a/linnetshift/lifecycle/shutdown_coordinator.py
+++ b/linnetshift/lifecycle/shutdown_coordinator.py
@@ -57,7 +57,7 @@
     def _start(self, is_replaced: bool) -> None:
         self.frontend.is_draining = True
         if not is_replaced:
-            self.activation.stop_vrrp()
+            self.activation.stop()
         self.shutdown = GracefulShutdown(self.loop, self.broker, self, is_replaced)
         self.shutdown.start(self.shutdown.run())
 
--- a/linnetshift/vrrp/router.py
+++ b/linnetshift/vrrp/router.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from linnetshift.event_loop.address import Address
+from linnetshift.util.backoff import Backoff
 from linnetshift.vrrp.protocol import PRIORITY_OWNER, PRIORITY_RELEASED, Advertisement
 
 # Bounds of the back-off between two attempts to start serving, in centiseconds: the first is short, as an
@@ -58,7 +59,7 @@
         self.set_timer = set_timer
         self.start_serving = start_serving
         self.is_retrying = False  # due to become active, but `start_serving` failed
-        self.retry_cs = MIN_RETRY_CS
+        self.retry_backoff = Backoff(MIN_RETRY_CS, MAX_RETRY_CS)
         self.state = State.INITIALIZE
         # The active router's interval in centiseconds, as it was last advertised (Active_Adver_Interval).
         self.active_interval_cs = config.interval_cs
@@ -143,12 +144,11 @@
     def _retry_later(self) -> None:
         self.state = State.BACKUP
         self.is_retrying = True
-        self.set_timer(self.retry_cs)
-        self.retry_cs = min(2 * self.retry_cs, MAX_RETRY_CS)
+        self.set_timer(self.retry_backoff.next_delay())
 
     def _reset_retry(self) -> None:
         self.is_retrying = False
-        self.retry_cs = MIN_RETRY_CS
+        self.retry_backoff.reset()
 
     def advertise(self) -> None:
         """Send an advertisement, and set the timer for the next."""
--- a/tests/test_shutdown_coordinator.py
+++ b/tests/test_shutdown_coordinator.py
@@ -19,7 +19,7 @@
         self.is_draining = False
         self.frontend = SimpleNamespace()
 
-    def stop_vrrp(self) -> None:
+    def stop(self) -> None:
         self.actions.append("stop-vrrp")
 
     def shutdown(self, _loop: Any, _broker: Any, _clients: Any, is_replaced: bool) -> Any:
--- a/tests/vrrp_peer.py
+++ b/tests/vrrp_peer.py
@@ -6,8 +6,9 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import NamedTuple
 
-from connections import WAIT_S, ChannelsClient
+from connections import WAIT_S, ChannelsClient, PeerConnection
 from running_proxy import RunningProxy
 
 from linnetshift.vrrp.protocol import PRIORITY_RELEASED, Advertisement
@@ -24,6 +25,13 @@
 """How long after its first advertisement an active router may still refuse a channel."""
 
 
+REFUSED_WITHIN_S = 1.0
+"""How long after it has lost the role a router may still accept a channel."""
+
+ANSWERED_WITHIN_S = 0.5
+"""How long a client waits for a greeting before it counts as left in a queue."""
+
+
 class VrrpPeer:
     """The other router of a proxy's VRRP group."""
 
@@ -50,7 +58,8 @@
         self.advertise(200, interval_cs=4095)
 
     def release_role(self) -> None:
-        """Release the role: the proxy becomes active after its skew time."""
+        """Release the role: the proxy becomes active after its skew time, a part of the last interval."""
+        self.advertise(200)
         self.advertise(PRIORITY_RELEASED)
 
     def discard_received(self) -> None:
@@ -85,7 +94,7 @@
     """Whether a client is refused, or reset at once; False where it is greeted or has to wait."""
     try:
         with socket.create_connection(("127.0.0.1", port), WAIT_S) as sock:
-            sock.settimeout(1.0)
+            sock.settimeout(ANSWERED_WITHIN_S)
             return not sock.recv(1)
     except TimeoutError:
         return False
@@ -94,14 +103,21 @@
 
 
 def wait_until_refused(port: int) -> None:
-    """Wait until a client is refused."""
-    until = time.monotonic() + WAIT_S
+    """Wait until clients are refused; they must not be left waiting for long."""
+    until = time.monotonic() + REFUSED_WITHIN_S
     while not is_refused(port):
-        assert time.monotonic() < until
+        assert time.monotonic() < until, "clients are accepted, or wait in a queue"
         time.sleep(0.01)
 
 
-def open_channel(running: RunningProxy, within_s: float = SERVES_WITHIN_S) -> ChannelsClient:
+class OpenChannel(NamedTuple):
+    """Both ends of an established channel."""
+
+    client: ChannelsClient
+    endpoint: PeerConnection
+
+
+def open_channel(running: RunningProxy, within_s: float = SERVES_WITHIN_S) -> OpenChannel:
     """Open a channel and have it served; clients are refused for `within_s` at most."""
     until = time.monotonic() + within_s
     while True:
@@ -112,6 +128,6 @@
             assert time.monotonic() < until, "no channel is accepted"
             time.sleep(0.005)
     client.open(1)
-    running.serve_any()
+    _, endpoint = running.serve_any()
     client.expect_confirmation(1)
-    return client
+    return OpenChannel(client, endpoint)
