Hot restart: a duplicate of the channels listener is kept until the predecessor closes its own

While it was a backup, clients that connected for channels waited at the predecessor's paused listener.

Cause: the new process started as a backup, closed its duplicate and left it among the inherited sockets, so that it took the closed socket for the listener later. A duplicate that is closed does not close a listener that the predecessor still holds, as one of an older version does, or one that hangs.

Change: InheritedListener keeps the duplicate until the predecessor has confirmed that it has stopped and told in its state that it then closes its own (key closes_listener), or has exited. Meanwhile the active router accepts from it, and a backup resets its clients. It is used only at the address it is bound to. test_state_is_exported_under_the_same_keys expects the new key beside the recorded ones, as strictly.

--- a/linnetshift/frontends/listener.py
+++ b/linnetshift/frontends/listener.py
@@ -56,7 +56,7 @@
         self.on_accept = on_accept
         self.free_descriptor = free_descriptor or loop.free_descriptor
         self.is_paused = False
-        self.is_inherited = inherited is not None
+        self.is_shared = inherited is not None
         self.listener = inherited if inherited is not None else _open_listener(address)
         try:
             self.listener.setblocking(False)
@@ -78,10 +78,10 @@
         self._watch()
 
     def close(self) -> None:
-        """Accept what is queued, unless inherited or paused, and close the socket; idempotent."""
+        """Accept what is queued, unless shared or paused, and close the socket; idempotent."""
         if not self.is_open:
             return
-        if not self.is_inherited and not self.is_paused:
+        if not self.is_shared and not self.is_paused:
             # To their clients, queued connections are established; closing would reset them.
             self._accept(MAX_ACCEPTS_AT_CLOSE)
         # Before closing: epoll keeps watching a closed socket that other processes still have open.
--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from typing import NamedTuple
 
 from linnetshift.broker.broker import Broker
 from linnetshift.event_loop.address import Address, format_address
@@ -10,6 +11,7 @@
 from linnetshift.event_loop.timers import MS, Timer
 from linnetshift.frontends.channels.frontend import ChannelsFrontend
 from linnetshift.lifecycle.graceful_shutdown import ChannelMigrator
+from linnetshift.lifecycle.inherited_listener import InheritedListener
 from linnetshift.observability import log
 from linnetshift.util.backoff import Backoff
 from linnetshift.vrrp.instance import Vrrp
@@ -23,6 +25,13 @@
 MAX_LISTEN_RETRY_NS = 250 * MS
 
 
+class PredecessorChannels(NamedTuple):
+    """What the predecessor told of its channels frontend."""
+
+    was_active: bool  # the active VRRP router
+    closes_listener: bool  # as soon as it is replaced; otherwise it keeps the listener until it exits
+
+
 class ChannelsActivation:
     """Opens and closes the listener of the channels frontend.
 
@@ -43,23 +52,40 @@
         self.frontend = frontend
         self.address = address
         self.inherited_sockets = inherited_sockets
+        self.inherited_listener: InheritedListener | None = None
+        self.is_predecessor_accepting = False  # or may be: it has not confirmed that it has stopped
+        self.is_replaced = False  # a successor accepts in place of this process
         self.vrrp: Vrrp | None = None
         self.listen_error = ""  # why the last attempt to listen failed
         self.retry_timer: Timer | None = None  # without VRRP: until the next attempt to listen
         self.retry_backoff = Backoff(MIN_LISTEN_RETRY_NS, MAX_LISTEN_RETRY_NS)
 
-    def start(self, vrrp: VrrpConfig | None, was_active: bool) -> None:
-        """Listen, or start VRRP, as the active router if the predecessor was; raises OSError."""
+    def start(self, vrrp: VrrpConfig | None, predecessor: PredecessorChannels | None) -> None:
+        """Listen, or start VRRP, as the active router if the predecessor was; raises OSError.
+
+        After a hot restart a failure to listen is retried instead.
+        """
+        if predecessor is not None:
+            self._adopt_listener(predecessor)
         if vrrp is not None:
+            was_active = predecessor is not None and predecessor.was_active
             inherited = self.inherited_sockets.pop(VRRP_SOCKET, None)
             self.vrrp = Vrrp(self.loop, vrrp, self, inherited, was_active)
             self.vrrp.start(self.vrrp.run())
+        elif predecessor is not None:
+            self._listen_or_retry()
         elif self.address is not None:
             self._listen(self.address)
-        # Clients would wait at an open listener from which nothing is accepted.
-        for unused in self.inherited_sockets.values():
+        while self.inherited_sockets:
+            _, unused = self.inherited_sockets.popitem()
             unused.close()
 
+    def _adopt_listener(self, predecessor: PredecessorChannels) -> None:
+        self.is_predecessor_accepting = True
+        listener = self.inherited_sockets.pop(CHANNELS_SOCKET, None)
+        if listener is not None:
+            self.inherited_listener = InheritedListener(self.loop, listener, predecessor.closes_listener)
+
     @property
     def is_vrrp_active(self) -> bool:
         """Whether VRRP is on and this proxy is the active router."""
@@ -78,6 +104,8 @@
         if self.vrrp is not None:
             sockets[VRRP_SOCKET] = self.vrrp.sock
         descriptors = {name: sock.fileno() for name, sock in sockets.items()}
+        if self.inherited_listener is not None:
+            descriptors.setdefault(CHANNELS_SOCKET, self.inherited_listener.descriptor)
         # A closed socket, as VRRP's is once it has stopped, has the descriptor -1.
         return {name: descriptor for name, descriptor in descriptors.items() if descriptor >= 0}
 
@@ -94,11 +122,47 @@
             self._handle_listen_failure(self.address, error)
             return False
         self._handle_listen_success(self.address)
+        self._update_inherited_listener()
         return True
 
     def stop_serving(self) -> None:
         """Stop listening and migrate the channels, as another proxy is the active router."""
         self.migrate_channels()
+        self._update_inherited_listener()
+
+    def handle_predecessor_stopped(self, is_confirmed: bool) -> None:
+        """Reset the clients that the predecessor no longer accepts, unless this process does.
+
+        `is_confirmed` tells whether the predecessor said that it has stopped; it may hang instead.
+        """
+        self.is_predecessor_accepting = False
+        listener = self.inherited_listener
+        if is_confirmed and listener is not None and listener.is_closed_by_predecessor:
+            self._release_inherited_listener()
+        else:
+            self._update_inherited_listener()
+
+    def handle_predecessor_exited(self) -> None:
+        """Own the listener alone, as the predecessor has closed all its descriptors."""
+        self.is_predecessor_accepting = False
+        self._release_inherited_listener()
+
+    def _release_inherited_listener(self) -> None:
+        if self.inherited_listener is None:
+            return
+        self.inherited_listener.close()
+        self.inherited_listener = None
+        if self.frontend.acceptor is not None:
+            self.frontend.acceptor.is_shared = False
+
+    def _update_inherited_listener(self) -> None:
+        """Reset the clients at the predecessor's listener while no process accepts them."""
+        listener = self.inherited_listener
+        if listener is None:
+            return
+        address = self.frontend.address
+        is_accepting = address is not None and listener.is_at(address)
+        listener.set_rejecting(not (is_accepting or self.is_predecessor_accepting or self.is_replaced))
 
     @property
     def is_retrying(self) -> bool:
@@ -132,13 +196,17 @@
 
     def yield_to_successor(self) -> None:
         """Leave the listener and the VRRP role to the successor, which has received the descriptors."""
+        self.is_replaced = True
         self._cancel_retry()
         if self.vrrp is not None:
             self.vrrp.pause()
         self.frontend.yield_to_successor()
+        self._update_inherited_listener()
 
     def resume(self) -> None:
         """Resume the VRRP role, or listen again, as the successor has disconnected."""
+        self.is_replaced = False
+        self._update_inherited_listener()
         if self.vrrp is not None:
             self.vrrp.resume()
         else:
@@ -163,4 +231,8 @@
             self.retry_timer = None
 
     def _listen(self, address: Address) -> None:
-        self.frontend.listen(address, self.inherited_sockets.pop(CHANNELS_SOCKET, None))
+        if address == self.frontend.address:
+            return
+        listener = self.inherited_listener
+        is_inherited = listener is not None and listener.is_at(address)
+        self.frontend.listen(address, listener.duplicate() if listener is not None and is_inherited else None)
--- a/linnetshift/lifecycle/hot_restart.py
+++ b/linnetshift/lifecycle/hot_restart.py
@@ -77,7 +77,7 @@
         self.peer_processes.append(peer_process)
         peer_process.start(peer_process.run())
         peer_process.send(PlainMessage.SERVING)
-        self.loop.call_later(HELLO_TIMEOUT_NS, self.handle_predecessor_stopped)
+        self.loop.call_later(HELLO_TIMEOUT_NS, self._handle_predecessor_silent)
 
     def listen_for_successor(self) -> None:
         """Listen at the takeover socket, replacing one that another process may have bound there since.
@@ -117,6 +117,13 @@
     def handle_predecessor_stopped(self) -> None:
         """Note that this process alone accepts connections now."""
         self.is_taking_over = False
+        self.operations.handle_predecessor_stopped(True)
+
+    def _handle_predecessor_silent(self) -> None:
+        """Continue without the predecessor's confirmation, unless it has come."""
+        if self.is_taking_over:
+            self.is_taking_over = False
+            self.operations.handle_predecessor_stopped(False)
 
     def handle_successor_serving(self, peer_process: PeerProcess) -> None:
         """Leave new connections to the successor."""
@@ -132,7 +139,11 @@
         self.operations.update_peer_resources(PeerResources())
         if peer_process.is_predecessor:
             log.info("predecessor-gone")
-            self.handle_predecessor_stopped()
+            self.is_taking_over = False
+            if peer_process.has_exited:
+                self.operations.handle_predecessor_exited()
+            else:
+                self.operations.handle_predecessor_stopped(False)
         if peer_process is self.successor:
             self.successor = None
             log.info("successor-gone")
--- a/linnetshift/lifecycle/imported_state.py
+++ b/linnetshift/lifecycle/imported_state.py
@@ -11,8 +11,10 @@
 from linnetshift.broker.snapshot import import_state
 from linnetshift.config.names import NameRegistry
 from linnetshift.discovery.endpoint_list import EndpointListUpdate, parse_endpoint_list
+from linnetshift.lifecycle.channels_activation import PredecessorChannels
 from linnetshift.lifecycle.takeover_messages import (
     ADMINISTRATIVE_DRAINS_KEY,
+    CLOSES_LISTENER_KEY,
     DESCRIPTOR_NAMES_KEY,
     ENDPOINT_LIST_KEY,
     IS_VRRP_ACTIVE_KEY,
@@ -37,7 +39,10 @@
         """Read what the proxy's parts are built with; `names` has this process's teams and classes."""
         self.names = names
         self.state = predecessor.state if predecessor is not None else {}
+        self.has_predecessor = predecessor is not None
         self.was_vrrp_active = self.state.get(IS_VRRP_ACTIVE_KEY) is True
+        # Absent in versions before December 2026, which keep the listener until they exit.
+        self.closes_listener = self.state.get(CLOSES_LISTENER_KEY) is True
         self.list_update: EndpointListUpdate | None = None
         self.peer_resources = PeerResources()
         # By name; a caller that removes one owns it.
@@ -46,6 +51,12 @@
             self.list_update = self._read_list()
             self.peer_resources = self._read_peer_resources()
 
+    def predecessor_channels(self) -> PredecessorChannels | None:
+        """Return what the predecessor told of its channels frontend; None where there is no predecessor."""
+        if not self.has_predecessor:
+            return None
+        return PredecessorChannels(self.was_vrrp_active, self.closes_listener)
+
     def _adopt_sockets(self, descriptors: list[int]) -> dict[str, socket.socket]:
         """Return the sockets by name; descriptors and names are in the same order."""
         names = self.state.get(DESCRIPTOR_NAMES_KEY) or []
--- a/linnetshift/lifecycle/local_process.py
+++ b/linnetshift/lifecycle/local_process.py
@@ -48,6 +48,8 @@
             peer_resources=self.peer_resources(),
             snapshot=export_state(self.broker.balancer, self.broker.latency_estimator),
             is_vrrp_active=self.activation.is_vrrp_active,
+            # What this process inherited itself, its own predecessor may still hold.
+            closes_listener=self.activation.inherited_listener is None,
             descriptors=self.activation.descriptors(),
         )
 
@@ -76,6 +78,14 @@
         self.activation.resume()
         self.shutdown.cancel()
 
+    def handle_predecessor_stopped(self, is_confirmed: bool) -> None:
+        """Own the channels listener, or reset its clients, as the predecessor no longer accepts."""
+        self.activation.handle_predecessor_stopped(is_confirmed)
+
+    def handle_predecessor_exited(self) -> None:
+        """Own what was shared with the predecessor."""
+        self.activation.handle_predecessor_exited()
+
     def apply_administrative_drain(
         self, endpoint: bytes, is_drained: bool, on_applied: Callable[[], None]
     ) -> None:
--- a/linnetshift/lifecycle/peer_process.py
+++ b/linnetshift/lifecycle/peer_process.py
@@ -89,6 +89,7 @@
         self.received = bytearray(predecessor.trailing_data if predecessor is not None else b"")
         self.has_exchanged_state = self.is_predecessor
         self.has_ended = False  # the peer closed, violated the protocol or hangs
+        self.has_exited = False  # the peer closed: only its end does that, or a cut that it made itself
         self.drain_numbers = count()
         self.unconfirmed_drains: dict[int, Callable[[], None]] = {}
 
@@ -154,6 +155,7 @@
             self.update_stall_timer()
         end = self.stream.fill()
         self.received += self.stream.rest()
+        self.has_exited = end is not None
         self.has_ended = end is not None or len(self.received) > MAX_MESSAGE_BYTES
 
     def _process_lines(self) -> bool:
--- a/linnetshift/lifecycle/restart_operations.py
+++ b/linnetshift/lifecycle/restart_operations.py
@@ -20,6 +20,15 @@
     def resume_accepting(self) -> None:
         """Accept connections again, as the successor is gone."""
 
+    def handle_predecessor_stopped(self, is_confirmed: bool, /) -> None:
+        """Note that the predecessor no longer accepts.
+
+        `is_confirmed` is False where it did not say so, as it hangs or the connection to it has been cut.
+        """
+
+    def handle_predecessor_exited(self) -> None:
+        """Note that the predecessor has ended, and has closed all descriptors."""
+
     def apply_administrative_drain(
         self, endpoint: bytes, is_drained: bool, on_applied: Callable[[], None]
     ) -> None:
--- a/linnetshift/lifecycle/takeover_messages.py
+++ b/linnetshift/lifecycle/takeover_messages.py
@@ -36,6 +36,7 @@
 PEER_RESOURCES_KEY = "holdings"
 SNAPSHOT_KEY = "memory"
 IS_VRRP_ACTIVE_KEY = "active"
+CLOSES_LISTENER_KEY = "closes_listener"
 DESCRIPTOR_NAMES_KEY = "passed"
 
 # Bounds of what a peer may report: no process has more descriptors than the kernel's usual hard limit, and a
@@ -132,6 +133,7 @@
     peer_resources: PeerResources
     snapshot: dict[str, Any]  # of the balancer and the latency estimator
     is_vrrp_active: bool
+    closes_listener: bool  # the channels listener, as soon as the sender is replaced
     descriptors: dict[str, int]  # sockets by name, passed as ancillary data in this order
 
     def to_json(self) -> dict[str, object]:
@@ -145,6 +147,7 @@
             SNAPSHOT_KEY: self.snapshot,
             IS_VRRP_ACTIVE_KEY: self.is_vrrp_active,
             DESCRIPTOR_NAMES_KEY: list(self.descriptors),
+            CLOSES_LISTENER_KEY: self.closes_listener,
         }
 
 
--- a/linnetshift/proxy.py
+++ b/linnetshift/proxy.py
@@ -181,7 +181,7 @@
 
     def _open_listeners(self, imported: ImportedState) -> None:
         self.frontend.listen(self.config.listen, self.platform_listener)
-        self.activation.start(self.reloader.broker_config.vrrp, imported.was_vrrp_active)
+        self.activation.start(self.reloader.broker_config.vrrp, imported.predecessor_channels())
         if self.config.admin is not None:
             self.admin_server.replace_acceptor(self.admin_server.open_acceptor(self.config.admin))
 
--- a/tests/test_channels_activation.py
+++ b/tests/test_channels_activation.py
@@ -8,8 +8,14 @@
 
 import pytest
 
+from linnetshift.event_loop.loop import Loop
 from linnetshift.lifecycle import channels_activation
-from linnetshift.lifecycle.channels_activation import CHANNELS_SOCKET, VRRP_SOCKET, ChannelsActivation
+from linnetshift.lifecycle.channels_activation import (
+    CHANNELS_SOCKET,
+    VRRP_SOCKET,
+    ChannelsActivation,
+    PredecessorChannels,
+)
 from linnetshift.vrrp.router import State
 
 ADDRESS = ("127.0.0.1", 7)
@@ -53,20 +59,25 @@
 
 
 def activation(frontend: Any, sockets: dict[str, socket.socket]) -> ChannelsActivation:
-    return ChannelsActivation(SimpleNamespace(), SimpleNamespace(), frontend, ADDRESS, sockets)  # type: ignore[arg-type]
+    return ChannelsActivation(Loop(), SimpleNamespace(), frontend, ADDRESS, sockets)  # type: ignore[arg-type]
 
 
 def test_without_vrrp_the_inherited_listener_is_used_and_others_are_closed(frontend: FakeFrontend) -> None:
-    with socket.socket() as inherited, socket.socket() as unused:
-        activation(frontend, {CHANNELS_SOCKET: inherited, "other": unused}).start(None, False)
-        assert frontend.listened == [(ADDRESS, inherited)]
+    with socket.create_server(("127.0.0.1", 0)) as inherited, socket.socket() as unused:
+        channels = activation(frontend, {CHANNELS_SOCKET: inherited, "other": unused})
+        channels.address = inherited.getsockname()
+        channels.start(None, PredecessorChannels(was_active=False, closes_listener=False))
+        ((address, listener),) = frontend.listened
+        assert listener is not None
+        with listener:
+            assert address == listener.getsockname() == inherited.getsockname()
         assert inherited.fileno() >= 0
         assert unused.fileno() == -1
 
 
 def test_backup_router_listens_once_it_becomes_active(frontend: FakeFrontend) -> None:
     channels = activation(frontend, {})
-    channels.start(VRRP_CONFIG, False)
+    channels.start(VRRP_CONFIG, PredecessorChannels(False, True))
     assert (frontend.listened, channels.is_vrrp_active, channels.may_open_listener) == ([], False, False)
     assert channels.start_serving()
     assert frontend.listened == [(ADDRESS, None)]
@@ -76,7 +87,7 @@
 def test_vrrp_continues_with_the_inherited_socket_and_as_the_active_router(frontend: FakeFrontend) -> None:
     with socket.socket() as inherited:
         channels = activation(frontend, {VRRP_SOCKET: inherited})
-        channels.start(VRRP_CONFIG, True)
+        channels.start(VRRP_CONFIG, PredecessorChannels(True, True))
         vrrp: Any = channels.vrrp
         assert vrrp.inherited is inherited
         assert inherited.fileno() >= 0
@@ -86,6 +97,6 @@
 def test_descriptor_of_vrrp_is_handed_over_until_its_socket_is_closed(frontend: FakeFrontend) -> None:
     with socket.socket() as inherited:
         channels = activation(frontend, {VRRP_SOCKET: inherited})
-        channels.start(VRRP_CONFIG, False)
+        channels.start(VRRP_CONFIG, PredecessorChannels(False, True))
         assert channels.descriptors() == {VRRP_SOCKET: inherited.fileno()}
     assert channels.descriptors() == {}
--- a/tests/test_handed_over_state.py
+++ b/tests/test_handed_over_state.py
@@ -252,7 +252,7 @@
     state = successor.local_process.export_state()
     exported = json.loads(json.dumps(state.to_json()))
 
-    assert exported.keys() == recorded.keys()
+    assert exported.keys() == recorded.keys() | {"closes_listener"}  # the recorded version had no such key
     assert exported["say"] == recorded["say"]
     for part in ("bans", "memory", "active", "passed"):
         assert exported[part] == recorded[part]
--- a/tests/test_peer_process.py
+++ b/tests/test_peer_process.py
@@ -25,11 +25,12 @@
     def __init__(self, streams: int) -> None:
         self.streams = streams
         self.accepting_calls: list[str] = []
+        self.predecessor_events: list[str] = []
         self.drains: list[tuple[bytes, bool]] = []
         self.reported_streams: list[int] = []
 
     def export_state(self) -> ExportedState:
-        return ExportedState({"rev": 7}, {}, {}, self.peer_resources(), {}, False, {})
+        return ExportedState({"rev": 7}, {}, {}, self.peer_resources(), {}, False, True, {})
 
     def yield_to_successor(self) -> None:
         self.accepting_calls.append("yield_to_successor")
@@ -37,6 +38,12 @@
     def resume_accepting(self) -> None:
         self.accepting_calls.append("resume_accepting")
 
+    def handle_predecessor_stopped(self, is_confirmed: bool) -> None:
+        self.predecessor_events.append("stopped" if is_confirmed else "silent")
+
+    def handle_predecessor_exited(self) -> None:
+        self.predecessor_events.append("exited")
+
     def apply_administrative_drain(
         self, endpoint: bytes, is_drained: bool, on_applied: Callable[[], None]
     ) -> None:
--- a/tests/test_takeover_messages.py
+++ b/tests/test_takeover_messages.py
@@ -56,12 +56,13 @@
         peer_resources=RESOURCES,
         snapshot={"node": {}},
         is_vrrp_active=True,
+        closes_listener=True,
         descriptors={"channels": 8, "vrrp": 5},
     )
     assert encode_message(state).decode() == (
         '{"say": "state", "list": {"rev": 7}, "bans": {"gone": []}, "budgets": {"acme": [null, [1.5, 9]]}, '
         f'"holdings": {{{RESOURCES_JSON}}}, "memory": {{"node": {{}}}}, "active": true, '
-        '"passed": ["channels", "vrrp"]}\n'
+        '"passed": ["channels", "vrrp"], "closes_listener": true}\n'
     )
 
 
--- a/tests/test_vrrp_hot_restart.py
+++ b/tests/test_vrrp_hot_restart.py
@@ -8,8 +8,17 @@
 from pathlib import Path
 
 import pytest
+from connections import WAIT_S
+from emulated_predecessor import predecessor_that_keeps_its_listener
 from proxy_harness import CHANNELS_ENABLED, started_proxy, successor_of
-from vrrp_peer import open_channel, vrrp_peer, wait_until_refused
+from running_proxy import RunningProxy
+from vrrp_peer import VrrpPeer, open_channel, vrrp_peer, wait_until_refused
+
+
+def switch_vrrp_on(running: RunningProxy, peer: VrrpPeer) -> None:
+    """Add the VRRP table to the broker file, which the next process reads."""
+    broker_file = running.config.parent / "broker.toml"
+    broker_file.write_text(broker_file.read_text() + peer.vrrp_table())
 
 
 def test_role_is_lost_and_won_again_while_the_predecessor_lives(tmp_path: Path) -> None:
@@ -64,3 +73,98 @@
                     old.logged("event=successor-gone")
                     open_connections.append(open_channel(old))
                     old.wait_until_ready()
+
+
+def test_vrrp_is_switched_on_in_a_hot_restart(tmp_path: Path) -> None:
+    # The new process took the listener that it had closed as a backup ('Bad file descriptor') and ended.
+    with (
+        vrrp_peer() as peer,
+        started_proxy(
+            tmp_path, broker_toml=CHANNELS_ENABLED, admin_server=True, inherits_listener=True
+        ) as old,
+    ):
+        open_connections: list[object] = [open_channel(old), old.establish()]
+        switch_vrrp_on(old, peer)
+        peer.hold_role()
+        with successor_of(old) as new:
+            new.wait_until_ready()
+            client, endpoint = new.establish()
+            wait_until_refused(old.channels_port)
+            for _ in range(2):
+                peer.discard_received()
+                peer.release_role()
+                peer.wait_until_active()
+                open_connections.append(open_channel(new))
+                peer.hold_role()
+                wait_until_refused(old.channels_port)
+            endpoint.send(b"on\r\n")
+            assert client.line() == b"on\r\n"
+            assert (old.process.poll(), new.process.poll()) == (None, None)
+
+
+def test_backup_successor_dies_after_vrrp_was_switched_on(tmp_path: Path) -> None:
+    # The predecessor, which has no VRRP, has to accept channels again.
+    with (
+        vrrp_peer() as peer,
+        started_proxy(
+            tmp_path, broker_toml=CHANNELS_ENABLED, admin_server=True, inherits_listener=True
+        ) as old,
+    ):
+        open_connections = [old.establish()]
+        switch_vrrp_on(old, peer)
+        peer.hold_role()
+        with successor_of(old) as new:
+            new.wait_until_ready()
+            wait_until_refused(old.channels_port)
+            new.process.kill()
+            old.logged("event=successor-gone")
+            open_channel(old)
+            assert open_connections
+
+
+@pytest.mark.parametrize("predecessor_hangs", [False, True])
+def test_predecessor_keeps_its_listener_until_it_exits(tmp_path: Path, predecessor_hangs: bool) -> None:
+    # As one of an older version does, or one that hangs: clients waited, or the address was in use.
+    with (
+        vrrp_peer() as peer,
+        predecessor_that_keeps_its_listener(
+            tmp_path, CHANNELS_ENABLED + peer.vrrp_table(), predecessor_hangs
+        ) as predecessor,
+    ):
+        peer.hold_role()
+        with predecessor.successor() as new:
+            new.wait_until_ready()
+            wait_until_refused(new.channels_port)
+            open_connections = []
+            for _ in range(2):
+                peer.discard_received()
+                peer.release_role()
+                peer.wait_until_active()
+                open_connections.append(open_channel(new))
+                peer.hold_role()
+                wait_until_refused(new.channels_port)
+            predecessor.exit()
+            new.logged("event=predecessor-gone")
+            wait_until_refused(new.channels_port)
+            peer.discard_received()
+            peer.release_role()
+            peer.wait_until_active()
+            open_channel(new)
+
+
+def test_predecessor_that_keeps_its_listener_accepts_from_it_after_its_successor_died(tmp_path: Path) -> None:
+    # A backup must not shut the shared listener down: an older predecessor never binds it anew.
+    with (
+        vrrp_peer() as peer,
+        predecessor_that_keeps_its_listener(tmp_path, CHANNELS_ENABLED + peer.vrrp_table()) as predecessor,
+    ):
+        peer.hold_role()
+        with predecessor.successor() as new:
+            new.wait_until_ready()
+            wait_until_refused(new.channels_port)
+        client = predecessor.client(port=predecessor.channels_port)
+        predecessor.listener.settimeout(WAIT_S)
+        accepted, _ = predecessor.listener.accept()
+        with accepted:
+            accepted.sendall(b"SSH-2.0-old\r\n")
+            assert client.line() == b"SSH-2.0-old\r\n"
--- a/tests/vrrp_peer.py
+++ b/tests/vrrp_peer.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import NamedTuple
 
 from connections import WAIT_S, ChannelsClient, PeerConnection
@@ -39,6 +40,8 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(("127.0.0.1", 0))
         self.proxy_address = ("127.0.0.1", free_port())
+        self.releases_role = threading.Event()
+        self.has_stopped_advertising = threading.Event()
 
     def vrrp_table(self, priority: int = PROXY_PRIORITY) -> str:
         """The table of a proxy's broker file that makes it a router of this group."""
@@ -54,11 +57,25 @@
         self.sock.sendto(advertisement.encode(), self.proxy_address)
 
     def hold_role(self) -> None:
-        """Be the active router until `release_role`, with one advertisement that counts for two minutes."""
+        """Be the active router until `release_role`, also for a process of the proxy that starts later.
+
+        Each advertisement counts for two minutes, however late the next one is.
+        """
+        self.releases_role.clear()
         self.advertise(200, interval_cs=4095)
+        threading.Thread(target=self._advertise_until_release, daemon=True).start()
+
+    def _advertise_until_release(self) -> None:
+        with suppress(OSError):  # the test has ended
+            while not self.releases_role.wait(INTERVAL_CS / 100 / 2):
+                self.advertise(200, interval_cs=4095)
+            self.has_stopped_advertising.set()
 
     def release_role(self) -> None:
         """Release the role: the proxy becomes active after its skew time, a part of the last interval."""
+        self.releases_role.set()
+        assert self.has_stopped_advertising.wait(WAIT_S)
+        self.has_stopped_advertising.clear()
         self.advertise(200)
         self.advertise(PRIORITY_RELEASED)
 
