Hot restart: the VRRP socket is inherited only at the address where the router listens

Callers saw: after a hot restart that moved the router to another address, its advertisements came from the old one, so peers dropped them, and what they sent to the new one reached nobody: two active routers.

Change: both are compared with the configured address, and bound anew where it differs.

--- a/linnetshift/event_loop/address.py
+++ b/linnetshift/event_loop/address.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import socket
 
 Address = tuple[str, int]
 """An IPv4 address or a host name, and a port, as the socket module expects them."""
@@ -19,3 +20,12 @@
     if not address or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"{os.fsdecode(text)!r} is not ADDRESS:PORT")
     return address, int(port)
+
+
+def is_bound_to(sock: socket.socket, address: Address) -> bool:
+    """Whether the socket is bound to the address; raises OSError if the socket is closed."""
+    try:
+        host = socket.gethostbyname(address[0])
+    except OSError:  # an unknown name
+        return False
+    return bool(sock.getsockname() == (host, address[1]))
--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from linnetshift.broker.broker import Broker
-from linnetshift.event_loop.address import Address, format_address
+from linnetshift.event_loop.address import Address, format_address, is_bound_to
 from linnetshift.event_loop.loop import Loop
 from linnetshift.event_loop.timers import MS, Timer
 from linnetshift.frontends.channels.frontend import ChannelsFrontend
@@ -69,8 +69,7 @@
             self._adopt_listener(predecessor)
         if vrrp is not None:
             was_active = predecessor is not None and predecessor.was_active
-            inherited = self.inherited_sockets.pop(VRRP_SOCKET, None)
-            self.vrrp = Vrrp(self.loop, vrrp, self, inherited, was_active)
+            self.vrrp = Vrrp(self.loop, vrrp, self, self._take_vrrp_socket(vrrp), was_active)
             self.vrrp.start(self.vrrp.run())
         elif predecessor is not None:
             self._listen_or_retry()
@@ -80,6 +79,13 @@
             _, unused = self.inherited_sockets.popitem()
             unused.close()
 
+    def _take_vrrp_socket(self, vrrp: VrrpConfig) -> socket.socket | None:
+        """Return the predecessor's socket, unless the router has another address now."""
+        inherited = self.inherited_sockets.get(VRRP_SOCKET)
+        if inherited is None or not is_bound_to(inherited, vrrp.listen):
+            return None
+        return self.inherited_sockets.pop(VRRP_SOCKET)
+
     def _adopt_listener(self, predecessor: PredecessorChannels) -> None:
         self.is_predecessor_accepting = True
         listener = self.inherited_sockets.pop(CHANNELS_SOCKET, None)
--- a/linnetshift/lifecycle/inherited_listener.py
+++ b/linnetshift/lifecycle/inherited_listener.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 
-from linnetshift.event_loop.address import Address
+from linnetshift.event_loop.address import Address, is_bound_to
 from linnetshift.event_loop.loop import Loop
 from linnetshift.frontends.listener import Acceptor
 
@@ -27,8 +27,7 @@
         of an older version keeps it until it exits.
         """
         self.is_closed_by_predecessor = is_closed_by_predecessor
-        self._address: Address = sock.getsockname()
-        self._acceptor = Acceptor(loop, self._address, _reset_connection, sock)
+        self._acceptor = Acceptor(loop, sock.getsockname(), _reset_connection, sock)
         self._acceptor.set_paused(True)
 
     @property
@@ -37,12 +36,8 @@
         return self._acceptor.listener.fileno()
 
     def is_at(self, address: Address) -> bool:
-        """Whether the listener is bound to the address, of which the host may be a name."""
-        try:
-            host = socket.gethostbyname(address[0])
-        except OSError:
-            return False
-        return (host, address[1]) == self._address
+        """Whether the listener is bound to the address."""
+        return is_bound_to(self._acceptor.listener, address)
 
     def duplicate(self) -> socket.socket:
         """Return another duplicate, to accept connections from; raises OSError."""
--- a/tests/test_channels_activation.py
+++ b/tests/test_channels_activation.py
@@ -19,7 +19,7 @@
 from linnetshift.vrrp.router import State
 
 ADDRESS = ("127.0.0.1", 7)
-VRRP_CONFIG: Any = object()
+VRRP_CONFIG: Any = SimpleNamespace(listen=("0.0.0.0", 0))  # of a socket that is not bound
 
 
 class FakeFrontend:
--- a/tests/test_vrrp_hot_restart.py
+++ b/tests/test_vrrp_hot_restart.py
@@ -12,7 +12,9 @@
 from emulated_predecessor import predecessor_that_keeps_its_listener
 from proxy_harness import CHANNELS_ENABLED, started_proxy, successor_of
 from running_proxy import RunningProxy
-from vrrp_peer import VrrpPeer, open_channel, vrrp_peer, wait_until_refused
+from vrrp_peer import VrrpPeer, open_channel, sender_of_next_advertisement, vrrp_peer, wait_until_refused
+
+from rig.free_port import free_port
 
 
 def switch_vrrp_on(running: RunningProxy, peer: VrrpPeer) -> None:
@@ -21,6 +23,13 @@
     broker_file.write_text(broker_file.read_text() + peer.vrrp_table())
 
 
+def replace_in_broker_file(running: RunningProxy, text: str, replacement: str) -> None:
+    """Change the broker file, which the next process reads."""
+    broker_file = running.config.parent / "broker.toml"
+    assert text in broker_file.read_text()
+    broker_file.write_text(broker_file.read_text().replace(text, replacement))
+
+
 def test_role_is_lost_and_won_again_while_the_predecessor_lives(tmp_path: Path) -> None:
     # The predecessor kept the listener open: the new process ended as it became active ('Address in use').
     with (
@@ -168,3 +177,75 @@
         with accepted:
             accepted.sendall(b"SSH-2.0-old\r\n")
             assert client.line() == b"SSH-2.0-old\r\n"
+
+
+def test_channels_move_to_another_address_in_a_hot_restart(tmp_path: Path) -> None:
+    # The inherited listener was taken for one at the new address, which refused all clients.
+    with started_proxy(
+        tmp_path, broker_toml=CHANNELS_ENABLED, admin_server=True, inherits_listener=True
+    ) as old:
+        open_connections: list[object] = [old.establish()]
+        new_port = free_port()
+        replace_in_broker_file(old, f":{old.channels_port}", f":{new_port}")
+        with successor_of(old) as new:
+            new.wait_until_ready()
+            new.channels_port = new_port
+            open_connections.append(open_channel(new))
+            wait_until_refused(old.channels_port)
+
+
+def test_channels_are_switched_off_in_a_hot_restart(tmp_path: Path) -> None:
+    # Clients waited at the paused listener of the predecessor.
+    with started_proxy(
+        tmp_path, broker_toml=CHANNELS_ENABLED, admin_server=True, inherits_listener=True
+    ) as old:
+        open_connections = [old.establish()]
+        replace_in_broker_file(old, "enabled = true", "enabled = false")
+        with successor_of(old) as new:
+            new.wait_until_ready()
+            wait_until_refused(old.channels_port)
+            assert open_connections
+
+
+def test_vrrp_is_switched_off_in_a_hot_restart_of_a_backup(tmp_path: Path) -> None:
+    # The new process listens although the paused router of its predecessor is a backup.
+    with (
+        vrrp_peer() as peer,
+        started_proxy(
+            tmp_path,
+            broker_toml=CHANNELS_ENABLED + peer.vrrp_table(),
+            admin_server=True,
+            inherits_listener=True,
+        ) as old,
+    ):
+        peer.hold_role()
+        open_connections: list[object] = [old.establish()]
+        replace_in_broker_file(old, peer.vrrp_table(), "")
+        with successor_of(old) as new:
+            new.wait_until_ready()
+            open_connections.append(open_channel(new))
+
+
+def test_vrrp_moves_to_another_address_in_a_hot_restart(tmp_path: Path) -> None:
+    # The inherited socket was used at its old address: peers dropped what it sent, it got nothing.
+    with (
+        vrrp_peer() as peer,
+        started_proxy(
+            tmp_path,
+            broker_toml=CHANNELS_ENABLED + peer.vrrp_table(),
+            admin_server=True,
+            inherits_listener=True,
+        ) as old,
+    ):
+        peer.wait_until_active()
+        open_connections: list[object] = [open_channel(old), old.establish()]
+        old_table = peer.vrrp_table()
+        peer.proxy_address = ("127.0.0.1", free_port())
+        replace_in_broker_file(old, old_table, peer.vrrp_table())
+        with successor_of(old) as new:
+            new.wait_until_ready()
+            peer.discard_received()
+            assert sender_of_next_advertisement(peer) == peer.proxy_address
+            open_connections.append(open_channel(new))
+            peer.hold_role()
+            wait_until_refused(old.channels_port)
--- a/tests/vrrp_peer.py
+++ b/tests/vrrp_peer.py
@@ -12,6 +12,7 @@
 from connections import WAIT_S, ChannelsClient, PeerConnection
 from running_proxy import RunningProxy
 
+from linnetshift.event_loop.address import Address
 from linnetshift.vrrp.protocol import PRIORITY_RELEASED, Advertisement
 from rig.free_port import free_port
 
@@ -127,6 +128,13 @@
         time.sleep(0.01)
 
 
+def sender_of_next_advertisement(peer: VrrpPeer) -> Address:
+    """Wait for an advertisement; returns the address from which it was sent."""
+    peer.sock.settimeout(WAIT_S)
+    _, sender = peer.sock.recvfrom(2048)
+    return str(sender[0]), int(sender[1])
+
+
 class OpenChannel(NamedTuple):
     """Both ends of an established channel."""
 
