Reload: an active router listens for channels that a reload enables

Callers saw: after SIGHUP had enabled channels on the active router, no proxy of its group accepted any: it kept the role and refused all clients until the role changed.

Cause: may_open_listener took a frontend that does not listen for that of a backup.

Change: needs_listener asks for the role. An address at which attempts to listen are being repeated is not bound by a reload, which would reject the whole configuration as long as it is in use.

Evidence: test_channels_that_a_reload_enables_are_accepted_by_the_active_router fails on ('no channel is accepted'); an address changed on a backup was used before too, and has a test now.

--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -97,10 +97,23 @@
         """Whether VRRP is on and this proxy is the active router."""
         return self.vrrp is not None and self.vrrp.router.state is State.ACTIVE
 
-    @property
-    def may_open_listener(self) -> bool:
-        """Whether a reload may listen at a new address; a backup router must not listen."""
-        return self.vrrp is None or self.frontend.address is not None
+    def needs_listener(self, address: Address | None) -> bool:
+        """Whether a reload has to open a listener at this address for channels.
+
+        A backup router opens it once it becomes active; attempts at an unchanged address are repeated anyway.
+        """
+        if address is None or address == self.frontend.address:
+            return False
+        if self.vrrp is not None:
+            return self.is_vrrp_active
+        return not (self.is_retrying and address == self.address)
+
+    def configure(self, address: Address | None) -> None:
+        """Use another address, or none, after a reload has opened the listener that it needs."""
+        self.address = address
+        if address is None and self.frontend.address is not None:
+            self.migrate_channels()
+        self._update_inherited_listener()
 
     def descriptors(self) -> dict[str, int]:
         """Return the open descriptors to pass to a successor, by name."""
--- a/linnetshift/lifecycle/reload.py
+++ b/linnetshift/lifecycle/reload.py
@@ -102,7 +102,7 @@
             return  # this process shuts down, or a successor accepts in its place
         if not self.has_platform_listener:
             self._bind_frontend(self.frontend, files.proxy.listen, listeners)
-        if self.activation.may_open_listener:
+        if self.activation.needs_listener(files.broker.channels):
             self._bind_frontend(self.activation.frontend, files.broker.channels, listeners)
 
     def _bind_frontend(self, frontend: Frontend, address: Address | None, listeners: BoundListeners) -> None:
@@ -115,14 +115,12 @@
             frontend.replace_acceptor(acceptor)
         if listeners.admin is not None or files.proxy.admin is None:
             self.admin_server.replace_acceptor(listeners.admin)
-        if files.broker.channels is None and self.activation.frontend.address is not None:
-            self.activation.migrate_channels()
 
     def _apply(self, files: ConfigurationFiles) -> dict[str, int]:
         """Use the new configuration from now on; return the discontinued classes by name."""
         self.config = files.proxy
         self.broker_config = files.broker
-        self.activation.address = files.broker.channels
+        self.activation.configure(files.broker.channels)
         discontinued = self.names.update_from(files.proxy.names)
         self.broker.configure(files.proxy.settings, files.broker.contracts)
         self.loop.call_later(DISCONTINUED_CLASS_GRACE_NS, partial(self._remove_classes, discontinued))
--- a/tests/test_channels_activation.py
+++ b/tests/test_channels_activation.py
@@ -19,6 +19,7 @@
 from linnetshift.vrrp.router import State
 
 ADDRESS = ("127.0.0.1", 7)
+OTHER_ADDRESS = ("127.0.0.1", 9)
 VRRP_CONFIG: Any = SimpleNamespace(listen=("0.0.0.0", 0))  # of a socket that is not bound
 
 
@@ -76,12 +77,15 @@
 
 
 def test_backup_router_listens_once_it_becomes_active(frontend: FakeFrontend) -> None:
-    channels = activation(frontend, {})
+    channels: Any = activation(frontend, {})
     channels.start(VRRP_CONFIG, PredecessorChannels(False, True))
-    assert (frontend.listened, channels.is_vrrp_active, channels.may_open_listener) == ([], False, False)
+    assert (frontend.listened, channels.is_vrrp_active) == ([], False)
+    assert not channels.needs_listener(OTHER_ADDRESS)
     assert channels.start_serving()
     assert frontend.listened == [(ADDRESS, None)]
-    assert channels.may_open_listener
+    channels.vrrp.router.state = State.ACTIVE
+    assert channels.needs_listener(OTHER_ADDRESS)
+    assert not channels.needs_listener(ADDRESS)
 
 
 def test_vrrp_continues_with_the_inherited_socket_and_as_the_active_router(frontend: FakeFrontend) -> None:
@@ -100,3 +104,12 @@
         channels.start(VRRP_CONFIG, PredecessorChannels(False, True))
         assert channels.descriptors() == {VRRP_SOCKET: inherited.fileno()}
     assert channels.descriptors() == {}
+
+
+def test_reload_opens_no_listener_at_an_address_that_is_being_retried(frontend: FakeFrontend) -> None:
+    # It failed as the address is still in use, and the whole configuration was rejected.
+    channels: Any = activation(frontend, {})
+    assert channels.needs_listener(ADDRESS)
+    channels.retry_timer = object()
+    assert not channels.needs_listener(ADDRESS)
+    assert channels.needs_listener(OTHER_ADDRESS)
--- a/tests/test_configuration_reloader.py
+++ b/tests/test_configuration_reloader.py
@@ -63,7 +63,7 @@
 
 def make_reloader() -> Any:
     """A reloader of a proxy that listens for administrators and clients, not for channels."""
-    activation = create_autospec(ChannelsActivation, instance=True, may_open_listener=True)
+    activation = create_autospec(ChannelsActivation, instance=True)
     activation.frontend = create_autospec(ChannelsFrontend, instance=True, address=None)
     admin_server = create_autospec(AdminServer, instance=True, address=OLD_ADDRESS)
     admin_server.open_acceptor.return_value = create_autospec(Acceptor, instance=True)
--- a/tests/test_vrrp_listener.py
+++ b/tests/test_vrrp_listener.py
@@ -6,7 +6,9 @@
 from pathlib import Path
 
 from proxy_harness import CHANNELS_ENABLED, started_proxy
-from vrrp_peer import is_refused, open_channel, vrrp_peer
+from vrrp_peer import is_refused, open_channel, vrrp_peer, wait_until_refused
+
+from rig.free_port import free_port
 
 
 def channels_at(port: int) -> str:
@@ -34,3 +36,32 @@
             peer.hold_role()
             running.logged("vrrp-state-changed state=backup")
             assert is_refused(channels_port)
+
+
+def test_channels_that_a_reload_enables_are_accepted_by_the_active_router(tmp_path: Path) -> None:
+    # The reload did not listen, and the router stayed active without a listener.
+    with vrrp_peer() as peer, started_proxy(tmp_path, broker_toml=peer.vrrp_table()) as running:
+        peer.wait_until_active()
+        (tmp_path / "broker.toml").write_text(channels_at(running.channels_port) + peer.vrrp_table())
+        running.reload("event=configuration-reloaded")
+        open_channel(running)
+        peer.hold_role()
+        wait_until_refused(running.channels_port)
+
+
+def test_backup_listens_at_the_address_of_the_last_reload_once_it_is_active(tmp_path: Path) -> None:
+    with vrrp_peer() as peer:
+        broker_toml = CHANNELS_ENABLED + peer.vrrp_table()
+        with started_proxy(tmp_path, broker_toml=broker_toml) as running:
+            peer.hold_role()
+            wait_until_refused(running.channels_port)
+            former_port = running.channels_port
+            running.channels_port = free_port()
+            (tmp_path / "broker.toml").write_text(channels_at(running.channels_port) + peer.vrrp_table())
+            running.reload("event=configuration-reloaded")
+            assert is_refused(running.channels_port)
+            peer.discard_received()
+            peer.release_role()
+            peer.wait_until_active()
+            open_channel(running)
+            assert is_refused(former_port)
