VRRP: a router that is paused for a successor ignores what was queued before

Callers saw: nothing yet.

Cause: a timeout or a datagram in the actor's mailbox at the moment of the pause was still handled. A timeout made the replaced process an active router that went on beside its successor, with its own listener and advertisements.

Evidence: test_paused_router_ignores_a_timeout_that_was_queued_before_the_pause fails without the change (state active) and passes with it.

--- a/linnetshift/vrrp/instance.py
+++ b/linnetshift/vrrp/instance.py
@@ -78,11 +78,16 @@
             self.router.start()
         while True:
             self._report_state()
-            match (yield):
-                case Io():
-                    self._receive()
-                case Timeout(tag=tag) if tag is self.timer_tag:
-                    self.router.handle_timer()
+            message = yield
+            if not self.is_paused:  # else queued before the pause: the successor acts on the role now
+                self._handle_message(message)
+
+    def _handle_message(self, message: object) -> None:
+        match message:
+            case Io():
+                self._receive()
+            case Timeout(tag=tag) if tag is self.timer_tag:
+                self.router.handle_timer()
 
     def pause(self) -> None:
         """Leave this router's state to the process that takes over; the peers see no change."""
--- a/tests/test_vrrp.py
+++ b/tests/test_vrrp.py
@@ -9,6 +9,8 @@
 from connections import WAIT_S, ChannelsClient
 from proxy_harness import started_proxy
 
+from linnetshift.event_loop.loop import Loop
+from linnetshift.vrrp.instance import Vrrp
 from linnetshift.vrrp.protocol import Advertisement, AdvertisementError
 from linnetshift.vrrp.router import Router, State, VrrpConfig
 from rig.free_port import free_port
@@ -129,6 +131,35 @@
     assert (harness.router.state, harness.sent) == (State.BACKUP, [0])
 
 
+class AlwaysServing:
+    """An `ActiveRole` that never fails."""
+
+    def start_serving(self) -> bool:
+        return True
+
+    def stop_serving(self) -> None:
+        pass
+
+
+def test_paused_router_ignores_a_timeout_that_was_queued_before_the_pause() -> None:
+    # It became active beside its successor, and advertised and listened from then on.
+    loop = Loop()
+    config = VrrpConfig(7, 100, 1, True, ("127.0.0.1", free_port()), (), ())
+    vrrp = Vrrp(loop, config, AlwaysServing())
+    vrrp.start(vrrp.run())
+    assert vrrp.timer is not None
+    vrrp.timer.fire()
+    vrrp.pause()
+    loop.call_later(0, lambda: None)
+    loop.run_once()
+    assert not vrrp.mailbox
+    assert vrrp.router.state is State.BACKUP
+    vrrp.resume()
+    while vrrp.router.state is State.BACKUP:
+        loop.run_once()
+    vrrp.stop()
+
+
 def test_channels_frontend_listens_only_while_active(tmp_path: Path) -> None:
     peer_router = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     peer_router.bind(("127.0.0.1", 0))
