Hot restart: a role won after the state was handed over is released to a peer

Callers saw: nothing yet.

Cause: the exported state says which role the successor starts with. A router that became active between that and its replacement fell silent, while its successor started as a backup, so no router of the group accepted channels until the peers' timers expired (over three intervals).

Change: a router that is replaced in such a role releases it with priority 0; a peer takes over after its skew time.

Evidence: test_role_won_after_the_state_was_handed_over_is_released_to_the_peer fails on (no advertisement with priority 0 within 1 s) and passes now.

--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -54,6 +54,7 @@
         self.inherited_sockets = inherited_sockets
         self.inherited_listener: InheritedListener | None = None
         self.is_predecessor_accepting = False  # or may be: it has not confirmed that it has stopped
+        self.exported_as_active = False  # the role with which the last successor starts
         self.is_replaced = False  # a successor accepts in place of this process
         self.vrrp: Vrrp | None = None
         self.listen_error = ""  # why the last attempt to listen failed
@@ -115,6 +116,11 @@
             self.migrate_channels()
         self._update_inherited_listener()
 
+    def export_role(self) -> bool:
+        """Return whether this proxy is the active router, as which its successor then starts."""
+        self.exported_as_active = self.is_vrrp_active
+        return self.exported_as_active
+
     def descriptors(self) -> dict[str, int]:
         """Return the open descriptors to pass to a successor, by name."""
         sockets: dict[str, socket.socket] = {}
@@ -218,7 +224,7 @@
         self.is_replaced = True
         self._cancel_retry()
         if self.vrrp is not None:
-            self.vrrp.pause()
+            self.vrrp.pause(self.exported_as_active)
         self.frontend.yield_to_successor()
         self._update_inherited_listener()
 
--- a/linnetshift/lifecycle/local_process.py
+++ b/linnetshift/lifecycle/local_process.py
@@ -47,7 +47,7 @@
             token_buckets=export_token_buckets(self.broker.contracts, self.names.tenants),
             peer_resources=self.peer_resources(),
             snapshot=export_state(self.broker.balancer, self.broker.latency_estimator),
-            is_vrrp_active=self.activation.is_vrrp_active,
+            is_vrrp_active=self.activation.export_role(),
             # What this process inherited itself, its own predecessor may still hold.
             closes_listener=self.activation.inherited_listener is None,
             descriptors=self.activation.descriptors(),
--- a/linnetshift/vrrp/instance.py
+++ b/linnetshift/vrrp/instance.py
@@ -89,8 +89,15 @@
             case Timeout(tag=tag) if tag is self.timer_tag:
                 self.router.handle_timer()
 
-    def pause(self) -> None:
-        """Leave this router's state to the process that takes over; the peers see no change."""
+    def pause(self, successor_is_active: bool) -> None:
+        """Leave this router's state to the process that takes over; the peers see no change.
+
+        Where the successor starts as a backup, an active router releases its role first: silent, it would
+        leave the group without an active router until the peers' timers expire.
+        """
+        if self.router.state is State.ACTIVE and not successor_is_active:
+            self.router.release_active()
+            self._report_state()
         self.is_paused = True
         self.loop.unwatch(self.sock.fileno())
         if self.timer is not None:
--- a/linnetshift/vrrp/router.py
+++ b/linnetshift/vrrp/router.py
@@ -141,6 +141,11 @@
         if self.is_retrying:
             self.send(PRIORITY_RELEASED)
 
+    def release_active(self) -> None:
+        """Release the active role, and be a backup without a timer until `become_backup`."""
+        self.send(PRIORITY_RELEASED)
+        self.state = State.BACKUP
+
     def _retry_later(self) -> None:
         self.state = State.BACKUP
         self.is_retrying = True
--- a/tests/test_vrrp.py
+++ b/tests/test_vrrp.py
@@ -149,7 +149,7 @@
     vrrp.start(vrrp.run())
     assert vrrp.timer is not None
     vrrp.timer.fire()
-    vrrp.pause()
+    vrrp.pause(successor_is_active=False)
     loop.call_later(0, lambda: None)
     loop.run_once()
     assert not vrrp.mailbox
--- a/tests/test_vrrp_hot_restart.py
+++ b/tests/test_vrrp_hot_restart.py
@@ -10,10 +10,12 @@
 import pytest
 from connections import WAIT_S
 from emulated_predecessor import predecessor_that_keeps_its_listener
+from emulated_successor import EmulatedSuccessor
 from proxy_harness import CHANNELS_ENABLED, started_proxy, successor_of
 from running_proxy import RunningProxy
 from vrrp_peer import VrrpPeer, open_channel, sender_of_next_advertisement, vrrp_peer, wait_until_refused
 
+from linnetshift.vrrp.protocol import PRIORITY_RELEASED
 from rig.free_port import free_port
 
 
@@ -249,3 +251,28 @@
             open_connections.append(open_channel(new))
             peer.hold_role()
             wait_until_refused(old.channels_port)
+
+
+def test_role_won_after_the_state_was_handed_over_is_released_to_the_peer(tmp_path: Path) -> None:
+    # The successor starts as a backup: without a release no router of the group was active for seconds.
+    with (
+        vrrp_peer() as peer,
+        started_proxy(
+            tmp_path,
+            broker_toml=CHANNELS_ENABLED + peer.vrrp_table(),
+            admin_server=True,
+            inherits_listener=True,
+        ) as old,
+    ):
+        open_connections = [old.establish()]
+        peer.hold_role()
+        old.logged("settings-applied")
+        with EmulatedSuccessor(tmp_path) as successor:
+            assert successor.state["active"] is False
+            peer.discard_received()
+            peer.release_role()
+            peer.wait_until_active()
+            successor.replace()
+            assert PRIORITY_RELEASED in peer.received_within(1.0)
+            wait_until_refused(old.channels_port)
+            assert open_connections
