Hot restart: descriptors passed with a state that is not received are closed

Callers saw: a new process that gave up waiting for the state, or could not read it, kept the channels listener that had come with it open and never accepted from it: clients waited in its queue, also after the old process had gone, and the address stayed in use.

Cause: receive_state closed the descriptors only where the connection ended before the state.

Change: they are closed on every way out but the state itself.

Evidence: test_passed_descriptors_are_closed_unless_the_state_is_received: three of five cases fail without the change (the pipe's other end is still open), all pass with it.

--- a/linnetshift/lifecycle/takeover_socket.py
+++ b/linnetshift/lifecycle/takeover_socket.py
@@ -13,6 +13,7 @@
 import socket
 import time
 from collections.abc import Callable
+from contextlib import ExitStack
 from typing import Any, NamedTuple
 
 from linnetshift.event_loop.loop import Loop
@@ -108,22 +109,25 @@
     """Read the state's line and the descriptors passed with it from a blocking socket.
 
     Raises OSError where the connection ends or times out before the line is complete, ValueError where the
-    line is not a JSON object.
+    line is not a JSON object; the descriptors are closed then. A listener that stayed open would let clients
+    wait in its queue, from which nobody accepts.
     """
     data = b""
     descriptors: list[int] = []
-    while b"\n" not in data:
-        received, passed, _, _ = socket.recv_fds(sock, READ_BYTES, MAX_PASSED_DESCRIPTORS)
-        descriptors += passed
-        data += received
-        if not received or len(data) > MAX_STATE_BYTES:
-            for descriptor in descriptors:
-                os.close(descriptor)
-            raise ConnectionError("closed before its state was told")
-    line, _, trailing_data = data.partition(b"\n")
-    state = json.loads(line)
-    if not isinstance(state, dict):
-        raise ValueError("no state")
+    with ExitStack() as close_descriptors:
+        while b"\n" not in data:
+            received, passed, _, _ = socket.recv_fds(sock, READ_BYTES, MAX_PASSED_DESCRIPTORS)
+            for descriptor in passed:
+                descriptors.append(descriptor)
+                close_descriptors.callback(os.close, descriptor)
+            data += received
+            if not received or len(data) > MAX_STATE_BYTES:
+                raise ConnectionError("closed before its state was told")
+        line, _, trailing_data = data.partition(b"\n")
+        state = json.loads(line)
+        if not isinstance(state, dict):
+            raise ValueError("no state")
+        close_descriptors.pop_all()
     return PredecessorState(sock, state, trailing_data, descriptors)
 
 
--- a/tests/test_takeover_socket.py
+++ b/tests/test_takeover_socket.py
@@ -113,6 +113,32 @@
     predecessor.sock.close()
 
 
+@pytest.mark.parametrize("answer", [b"", b'{"say": ', b"[]\n", b"no json\n", None])
+def test_passed_descriptors_are_closed_unless_the_state_is_received(
+    socket_path: TakeoverSocketPath, monkeypatch: pytest.MonkeyPatch, answer: bytes | None
+) -> None:
+    # A listener among them stayed open, and let clients wait in its queue.
+    monkeypatch.setattr(takeover_socket, "TAKEOVER_TIMEOUT_S", 0.1)
+    reader, writer = os.pipe()
+    done = threading.Event()
+
+    def send(connection: socket.socket) -> None:
+        socket.send_fds(connection, [b" "], [writer])
+        if answer is None:  # it hangs
+            done.wait(5)
+        else:
+            connection.sendall(answer)
+
+    thread = start_predecessor(socket_path, send)
+    assert request_takeover(socket_path) is None
+    done.set()
+    thread.join(5)
+    os.close(writer)
+    os.set_blocking(reader, False)
+    assert os.read(reader, 1) == b""  # no other descriptor of the pipe's other end is open
+    os.close(reader)
+
+
 def test_request_to_a_process_that_hangs_times_out(
     socket_path: TakeoverSocketPath, monkeypatch: pytest.MonkeyPatch
 ) -> None:
