Hot restart: a process whose predecessor hangs waits for the channels address instead of ending

Callers saw: with a predecessor that hangs, the new process got no state and ended with status 2 at its start ('cannot listen: Address already in use'), as the hung one holds the address of its channels.

Cause: start raised the error of the channels listener, as for a proxy that is started alone.

Change: where the platform holds the clients' listener, another process of the proxy may hold that of the channels: it is retried, and readiness and log tell it meanwhile.

Evidence: test_channels_are_accepted_once_a_predecessor_that_hangs_has_ended fails on ('cannot listen', status 2) and passes now.

--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -61,10 +61,13 @@
         self.retry_timer: Timer | None = None  # without VRRP: until the next attempt to listen
         self.retry_backoff = Backoff(MIN_LISTEN_RETRY_NS, MAX_LISTEN_RETRY_NS)
 
-    def start(self, vrrp: VrrpConfig | None, predecessor: PredecessorChannels | None) -> None:
+    def start(
+        self, vrrp: VrrpConfig | None, predecessor: PredecessorChannels | None, retries_listening: bool
+    ) -> None:
         """Listen, or start VRRP, as the active router if the predecessor was; raises OSError.
 
-        After a hot restart a failure to listen is retried instead.
+        With `retries_listening` a failure to listen is retried instead: another process of this proxy may
+        hold the address until it exits.
         """
         if predecessor is not None:
             self._adopt_listener(predecessor)
@@ -72,7 +75,7 @@
             was_active = predecessor is not None and predecessor.was_active
             self.vrrp = Vrrp(self.loop, vrrp, self, self._take_vrrp_socket(vrrp), was_active)
             self.vrrp.start(self.vrrp.run())
-        elif predecessor is not None:
+        elif retries_listening:
             self._listen_or_retry()
         elif self.address is not None:
             self._listen(self.address)
--- a/linnetshift/proxy.py
+++ b/linnetshift/proxy.py
@@ -181,7 +181,11 @@
 
     def _open_listeners(self, imported: ImportedState) -> None:
         self.frontend.listen(self.config.listen, self.platform_listener)
-        self.activation.start(self.reloader.broker_config.vrrp, imported.predecessor_channels())
+        self.activation.start(
+            self.reloader.broker_config.vrrp,
+            imported.predecessor_channels(),
+            retries_listening=self.platform_listener is not None,
+        )
         if self.config.admin is not None:
             self.admin_server.replace_acceptor(self.admin_server.open_acceptor(self.config.admin))
 
--- a/tests/test_channels_activation.py
+++ b/tests/test_channels_activation.py
@@ -67,7 +67,9 @@
     with socket.create_server(("127.0.0.1", 0)) as inherited, socket.socket() as unused:
         channels = activation(frontend, {CHANNELS_SOCKET: inherited, "other": unused})
         channels.address = inherited.getsockname()
-        channels.start(None, PredecessorChannels(was_active=False, closes_listener=False))
+        channels.start(
+            None, PredecessorChannels(was_active=False, closes_listener=False), retries_listening=True
+        )
         ((address, listener),) = frontend.listened
         assert listener is not None
         with listener:
@@ -78,7 +80,7 @@
 
 def test_backup_router_listens_once_it_becomes_active(frontend: FakeFrontend) -> None:
     channels: Any = activation(frontend, {})
-    channels.start(VRRP_CONFIG, PredecessorChannels(False, True))
+    channels.start(VRRP_CONFIG, PredecessorChannels(False, True), retries_listening=True)
     assert (frontend.listened, channels.is_vrrp_active) == ([], False)
     assert not channels.needs_listener(OTHER_ADDRESS)
     assert channels.start_serving()
@@ -91,7 +93,7 @@
 def test_vrrp_continues_with_the_inherited_socket_and_as_the_active_router(frontend: FakeFrontend) -> None:
     with socket.socket() as inherited:
         channels = activation(frontend, {VRRP_SOCKET: inherited})
-        channels.start(VRRP_CONFIG, PredecessorChannels(True, True))
+        channels.start(VRRP_CONFIG, PredecessorChannels(True, True), retries_listening=True)
         vrrp: Any = channels.vrrp
         assert vrrp.inherited is inherited
         assert inherited.fileno() >= 0
@@ -101,7 +103,7 @@
 def test_descriptor_of_vrrp_is_handed_over_until_its_socket_is_closed(frontend: FakeFrontend) -> None:
     with socket.socket() as inherited:
         channels = activation(frontend, {VRRP_SOCKET: inherited})
-        channels.start(VRRP_CONFIG, PredecessorChannels(False, True))
+        channels.start(VRRP_CONFIG, PredecessorChannels(False, True), retries_listening=True)
         assert channels.descriptors() == {VRRP_SOCKET: inherited.fileno()}
     assert channels.descriptors() == {}
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -9,7 +9,7 @@
 import pytest
 from conftest import MS, S, balancer, ended, only, request
 from connections import WAIT_S
-from proxy_harness import launch_process, started_proxy, successor_of
+from proxy_harness import CHANNELS_ENABLED, launch_process, started_proxy, successor_of
 from running_proxy import DRAIN_CALL, RESTORE_CALL, establish_on, ranked
 
 from linnetshift.broker.latency_estimator import ConnectionLoad, LatencyEstimator
@@ -118,6 +118,24 @@
             assert new.client(b"SSH-2.0-t\r\n", old.channels_port).line().startswith(b"SSH-2.0-")
 
 
+def test_channels_are_accepted_once_a_predecessor_that_hangs_has_ended(tmp_path: Path) -> None:
+    # The new process ended as the address of its channels frontend was in use.
+    with (
+        started_proxy(
+            tmp_path, broker_toml=CHANNELS_ENABLED, admin_server=True, inherits_listener=True
+        ) as old,
+        old.stopped(),
+        successor_of(old) as new,
+    ):
+        assert any("channels-listener-unavailable" in line for line in new.passed_lines)
+        assert new.call("GET /ops/readiness") == 503
+        assert new.alive()
+        old.process.kill()
+        old.process.wait(WAIT_S)
+        new.wait_until_ready()
+        assert new.client(b"SSH-2.0-t\r\n", new.channels_port).line().startswith(b"SSH-2.0-")
+
+
 @pytest.mark.parametrize("descriptor", ["2", "99", "three"])
 def test_descriptor_without_a_listening_socket_is_rejected_at_start(tmp_path: Path, descriptor: str) -> None:
     with started_proxy(tmp_path) as running:
