Hot restart: a router whose predecessor hangs waits for the address of VRRP instead of ending

The same where VRRP is switched off and on again in two restarts within 9 s, as the first of three processes still holds the socket.

Cause: start raised the error of VRRP's socket.

Change: where the platform holds the clients' listener the socket is bound again later, with the same back-off; the router then starts as a backup. Readiness and log (vrrp-socket-unavailable) tell it.

--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from linnetshift.broker.broker import Broker
@@ -20,7 +22,7 @@
 # Names of the descriptors that are passed to a successor.
 CHANNELS_SOCKET = "channels"
 VRRP_SOCKET = "vrrp"
-# Bounds of the back-off between two attempts to listen again; clients are refused meanwhile.
+# Bounds of the back-off between two attempts to bind an address; clients are refused meanwhile.
 MIN_LISTEN_RETRY_NS = 20 * MS
 MAX_LISTEN_RETRY_NS = 250 * MS
 
@@ -56,9 +58,10 @@
         self.is_predecessor_accepting = False  # or may be: it has not confirmed that it has stopped
         self.exported_as_active = False  # the role with which the last successor starts
         self.is_replaced = False  # a successor accepts in place of this process
-        self.vrrp: Vrrp | None = None
-        self.listen_error = ""  # why the last attempt to listen failed
-        self.retry_timer: Timer | None = None  # without VRRP: until the next attempt to listen
+        self.vrrp_config: VrrpConfig | None = None
+        self.vrrp: Vrrp | None = None  # None also while its socket cannot be bound
+        self.bind_failure = ""  # address and cause of the last one
+        self.retry_timer: Timer | None = None  # until the next attempt to listen without VRRP, or to start it
         self.retry_backoff = Backoff(MIN_LISTEN_RETRY_NS, MAX_LISTEN_RETRY_NS)
 
     def start(
@@ -66,15 +69,15 @@
     ) -> None:
         """Listen, or start VRRP, as the active router if the predecessor was; raises OSError.
 
-        With `retries_listening` a failure to listen is retried instead: another process of this proxy may
-        hold the address until it exits.
+        With `retries_listening` a failure to bind an address is retried instead: another process of this
+        proxy may hold it until it exits.
         """
+        self.vrrp_config = vrrp
         if predecessor is not None:
             self._adopt_listener(predecessor)
         if vrrp is not None:
             was_active = predecessor is not None and predecessor.was_active
-            self.vrrp = Vrrp(self.loop, vrrp, self, self._take_vrrp_socket(vrrp), was_active)
-            self.vrrp.start(self.vrrp.run())
+            self._start_vrrp(vrrp, was_active, retries_listening)
         elif retries_listening:
             self._listen_or_retry()
         elif self.address is not None:
@@ -83,6 +86,23 @@
             _, unused = self.inherited_sockets.popitem()
             unused.close()
 
+    def _start_vrrp(self, config: VrrpConfig, was_active: bool, is_retried: bool) -> None:
+        """Start the router; raises OSError where its socket cannot be bound, unless that is retried."""
+        try:
+            self.vrrp = Vrrp(self.loop, config, self, self._take_vrrp_socket(config), was_active)
+        except OSError as error:
+            if not is_retried:
+                raise
+            if self._is_new_failure(config.listen, error):
+                log.info(
+                    "vrrp-socket-unavailable", address=format_address(config.listen), error=error.strerror
+                )
+            # The peers count the predecessor as gone by then: this router starts as a backup.
+            self._retry_later(partial(self._start_vrrp, config, was_active=False, is_retried=True))
+            return
+        self._cancel_retry()
+        self.vrrp.start(self.vrrp.run())
+
     def _take_vrrp_socket(self, vrrp: VrrpConfig) -> socket.socket | None:
         """Return the predecessor's socket, unless the router has another address now."""
         inherited = self.inherited_sockets.get(VRRP_SOCKET)
@@ -108,7 +128,7 @@
         """
         if address is None or address == self.frontend.address:
             return False
-        if self.vrrp is not None:
+        if self.vrrp_config is not None:
             return self.is_vrrp_active
         return not (self.is_retrying and address == self.address)
 
@@ -147,9 +167,15 @@
         try:
             self._listen(self.address)
         except OSError as error:
-            self._handle_listen_failure(self.address, error)
+            if self._is_new_failure(self.address, error):
+                log.info(
+                    "channels-listener-unavailable",
+                    address=format_address(self.address),
+                    error=error.strerror,
+                )
             return False
-        self._handle_listen_success(self.address)
+        if self.is_retrying:
+            log.info("channels-listener-opened", address=format_address(self.address))
         self._update_inherited_listener()
         return True
 
@@ -194,27 +220,21 @@
 
     @property
     def is_retrying(self) -> bool:
-        """Whether this proxy is due to listen, and retries as its last attempt failed."""
+        """Whether this proxy is due to listen, or to start VRRP, and retries as its last attempt failed."""
         if self.vrrp is not None:
             return self.vrrp.router.is_retrying
         return self.retry_timer is not None
 
     def not_listening_reason(self) -> str:
-        """Why this proxy cannot accept channels although it is due to; empty otherwise."""
-        if not self.is_retrying or self.address is None:
-            return ""
-        return f"cannot listen for channels on {format_address(self.address)}: {self.listen_error}"
-
-    def _handle_listen_failure(self, address: Address, error: OSError) -> None:
-        """Log the failure, once for each cause while attempts are repeated."""
-        cause = error.strerror or str(error)
-        if not self.is_retrying or cause != self.listen_error:
-            log.info("channels-listener-unavailable", address=format_address(address), error=cause)
-        self.listen_error = cause
-
-    def _handle_listen_success(self, address: Address) -> None:
-        if self.is_retrying:
-            log.info("channels-listener-opened", address=format_address(address))
+        """Why this proxy can't accept channels, or take part in VRRP, although it should; empty otherwise."""
+        return f"cannot bind {self.bind_failure}" if self.is_retrying else ""
+
+    def _is_new_failure(self, address: Address, error: OSError) -> bool:
+        """Note the failure; returns whether to log it: once for each address and cause while it is retried."""
+        failure = f"{format_address(address)}: {error.strerror}"
+        is_new = not self.is_retrying or failure != self.bind_failure
+        self.bind_failure = failure
+        return is_new
 
     def migrate_channels(self) -> None:
         """Stop listening, and migrate the established channels, see `ChannelMigrator`."""
@@ -237,6 +257,8 @@
         self._update_inherited_listener()
         if self.vrrp is not None:
             self.vrrp.resume()
+        elif self.vrrp_config is not None:
+            self._start_vrrp(self.vrrp_config, was_active=False, is_retried=True)
         else:
             self._listen_or_retry()
 
@@ -250,7 +272,10 @@
         if self.start_serving():
             self._cancel_retry()
         else:
-            self.retry_timer = self.loop.call_later(self.retry_backoff.next_delay(), self._listen_or_retry)
+            self._retry_later(self._listen_or_retry)
+
+    def _retry_later(self, attempt: Callable[[], None]) -> None:
+        self.retry_timer = self.loop.call_later(self.retry_backoff.next_delay(), attempt)
 
     def _cancel_retry(self) -> None:
         self.retry_backoff.reset()
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -118,16 +118,28 @@
             assert new.client(b"SSH-2.0-t\r\n", old.channels_port).line().startswith(b"SSH-2.0-")
 
 
-def test_channels_are_accepted_once_a_predecessor_that_hangs_has_ended(tmp_path: Path) -> None:
-    # The new process ended as the address of its channels frontend was in use.
+@pytest.mark.parametrize(
+    ("vrrp_table", "unavailable"),
+    [
+        ("", "channels-listener"),
+        (
+            '[vrrp]\nenabled = true\nvrid = 1\npriority = 255\nlisten = "127.0.0.1:PORT"\npeers = []\n',
+            "vrrp-socket",
+        ),
+    ],
+)
+def test_channels_are_accepted_once_a_predecessor_that_hangs_has_ended(
+    tmp_path: Path, vrrp_table: str, unavailable: str
+) -> None:
+    # The new process ended as the addresses of its channels frontend and of VRRP were in use.
     with (
         started_proxy(
-            tmp_path, broker_toml=CHANNELS_ENABLED, admin_server=True, inherits_listener=True
+            tmp_path, broker_toml=CHANNELS_ENABLED + vrrp_table, admin_server=True, inherits_listener=True
         ) as old,
         old.stopped(),
         successor_of(old) as new,
     ):
-        assert any("channels-listener-unavailable" in line for line in new.passed_lines)
+        assert any(f"event={unavailable}-unavailable" in line for line in new.passed_lines)
         assert new.call("GET /ops/readiness") == 503
         assert new.alive()
         old.process.kill()
