Channels activation: attempts to bind are repeated by a class of their own

A shutdown stops listening through the activation, so that the clients at a listener which an older predecessor still holds are reset in the last seconds too.

--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -3,28 +3,23 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple
 
 from linnetshift.broker.broker import Broker
 from linnetshift.event_loop.address import Address, format_address, is_bound_to
 from linnetshift.event_loop.loop import Loop
-from linnetshift.event_loop.timers import MS, Timer
 from linnetshift.frontends.channels.frontend import ChannelsFrontend
+from linnetshift.lifecycle.bind_retry import BindRetry
 from linnetshift.lifecycle.graceful_shutdown import ChannelMigrator
 from linnetshift.lifecycle.inherited_listener import InheritedListener
 from linnetshift.observability import log
-from linnetshift.util.backoff import Backoff
 from linnetshift.vrrp.instance import Vrrp
 from linnetshift.vrrp.router import State, VrrpConfig
 
 # Names of the descriptors that are passed to a successor.
 CHANNELS_SOCKET = "channels"
 VRRP_SOCKET = "vrrp"
-# Bounds of the back-off between two attempts to bind an address; clients are refused meanwhile.
-MIN_LISTEN_RETRY_NS = 20 * MS
-MAX_LISTEN_RETRY_NS = 250 * MS
 
 
 class PredecessorChannels(NamedTuple):
@@ -61,8 +56,7 @@
         self.vrrp_config: VrrpConfig | None = None
         self.vrrp: Vrrp | None = None  # None also while its socket cannot be bound
         self.bind_failure = ""  # address and cause of the last one
-        self.retry_timer: Timer | None = None  # until the next attempt to listen without VRRP, or to start it
-        self.retry_backoff = Backoff(MIN_LISTEN_RETRY_NS, MAX_LISTEN_RETRY_NS)
+        self.bind_retry = BindRetry(loop)  # to start VRRP or, without VRRP, to listen
 
     def start(
         self, vrrp: VrrpConfig | None, predecessor: PredecessorChannels | None, retries_listening: bool
@@ -93,14 +87,13 @@
         except OSError as error:
             if not is_retried:
                 raise
-            if self._is_new_failure(config.listen, error):
-                log.info(
-                    "vrrp-socket-unavailable", address=format_address(config.listen), error=error.strerror
-                )
+            address = format_address(config.listen)
+            if self._is_new_failure(address, error):
+                log.info("vrrp-socket-unavailable", address=address, error=error.strerror)
             # The peers count the predecessor as gone by then: this router starts as a backup.
-            self._retry_later(partial(self._start_vrrp, config, was_active=False, is_retried=True))
+            self.bind_retry.schedule(partial(self._start_vrrp, config, was_active=False, is_retried=True))
             return
-        self._cancel_retry()
+        self.bind_retry.cancel()
         self.vrrp.start(self.vrrp.run())
 
     def _take_vrrp_socket(self, vrrp: VrrpConfig) -> socket.socket | None:
@@ -167,12 +160,9 @@
         try:
             self._listen(self.address)
         except OSError as error:
-            if self._is_new_failure(self.address, error):
-                log.info(
-                    "channels-listener-unavailable",
-                    address=format_address(self.address),
-                    error=error.strerror,
-                )
+            address = format_address(self.address)
+            if self._is_new_failure(address, error):
+                log.info("channels-listener-unavailable", address=address, error=error.strerror)
             return False
         if self.is_retrying:
             log.info("channels-listener-opened", address=format_address(self.address))
@@ -223,15 +213,15 @@
         """Whether this proxy is due to listen, or to start VRRP, and retries as its last attempt failed."""
         if self.vrrp is not None:
             return self.vrrp.router.is_retrying
-        return self.retry_timer is not None
+        return self.bind_retry.is_pending
 
     def not_listening_reason(self) -> str:
         """Why this proxy can't accept channels, or take part in VRRP, although it should; empty otherwise."""
         return f"cannot bind {self.bind_failure}" if self.is_retrying else ""
 
-    def _is_new_failure(self, address: Address, error: OSError) -> bool:
-        """Note the failure; returns whether to log it: once for each address and cause while it is retried."""
-        failure = f"{format_address(address)}: {error.strerror}"
+    def _is_new_failure(self, address: str, error: OSError) -> bool:
+        """Note the failure; returns whether to log it: once for each address and cause while retried."""
+        failure = f"{address}: {error.strerror}"
         is_new = not self.is_retrying or failure != self.bind_failure
         self.bind_failure = failure
         return is_new
@@ -245,7 +235,7 @@
     def yield_to_successor(self) -> None:
         """Leave the listener and the VRRP role to the successor, which has received the descriptors."""
         self.is_replaced = True
-        self._cancel_retry()
+        self.bind_retry.cancel()
         if self.vrrp is not None:
             self.vrrp.pause(self.exported_as_active)
         self.frontend.yield_to_successor()
@@ -264,24 +254,20 @@
 
     def stop(self) -> None:
         """Release the role of the active router, as this proxy shuts down; a listener stays open."""
-        self._cancel_retry()
+        self.bind_retry.cancel()
         if self.vrrp is not None:
             self.vrrp.stop()
 
+    def stop_listening(self) -> None:
+        """Stop listening, as this proxy shuts down; sessions end once they have no channels."""
+        self.frontend.drain()
+        self._update_inherited_listener()
+
     def _listen_or_retry(self) -> None:
         if self.start_serving():
-            self._cancel_retry()
+            self.bind_retry.cancel()
         else:
-            self._retry_later(self._listen_or_retry)
-
-    def _retry_later(self, attempt: Callable[[], None]) -> None:
-        self.retry_timer = self.loop.call_later(self.retry_backoff.next_delay(), attempt)
-
-    def _cancel_retry(self) -> None:
-        self.retry_backoff.reset()
-        if self.retry_timer is not None:
-            self.retry_timer.cancel()
-            self.retry_timer = None
+            self.bind_retry.schedule(self._listen_or_retry)
 
     def _listen(self, address: Address) -> None:
         if address == self.frontend.address:
--- a/linnetshift/lifecycle/shutdown_coordinator.py
+++ b/linnetshift/lifecycle/shutdown_coordinator.py
@@ -66,7 +66,7 @@
     def stop_listening(self) -> None:
         """Close the listening sockets of both frontends."""
         self.frontend.close()
-        self.channels.drain()
+        self.activation.stop_listening()
 
     def connections_in_use(self) -> int:
         """Return the number of connections that are not idle; idle ones must not delay the shutdown."""
--- a/tests/test_channels_activation.py
+++ b/tests/test_channels_activation.py
@@ -112,6 +112,6 @@
     # It failed as the address is still in use, and the whole configuration was rejected.
     channels: Any = activation(frontend, {})
     assert channels.needs_listener(ADDRESS)
-    channels.retry_timer = object()
+    channels.bind_retry.schedule(lambda: None)
     assert not channels.needs_listener(ADDRESS)
     assert channels.needs_listener(OTHER_ADDRESS)
