Hot restart: a predecessor whose connection breaks on a write counts as exited

Cause: a heartbeat sent to a process that has just exited fails with EPIPE before the end is read; the new process then kept its duplicate of the channels listener as if the predecessor might live. Found by reading; both ways of the distinction have a test in tests/test_peer_process.py.

--- a/linnetshift/lifecycle/peer_process.py
+++ b/linnetshift/lifecycle/peer_process.py
@@ -89,7 +89,7 @@
         self.received = bytearray(predecessor.trailing_data if predecessor is not None else b"")
         self.has_exchanged_state = self.is_predecessor
         self.has_ended = False  # the peer closed, violated the protocol or hangs
-        self.has_exited = False  # the peer closed: only its end does that, or a cut that it made itself
+        self.has_exited = False  # the peer closed the connection, as its exit does
         self.drain_numbers = count()
         self.unconfirmed_drains: dict[int, Callable[[], None]] = {}
 
@@ -199,6 +199,7 @@
         self.has_exchanged_state = True
 
     def _disconnect(self) -> None:
+        self.has_exited = self.has_exited or self.stream.broken
         self.stream.close()
         unconfirmed = list(self.unconfirmed_drains.values())
         self.unconfirmed_drains = {}
--- a/tests/test_peer_process.py
+++ b/tests/test_peer_process.py
@@ -164,6 +164,21 @@
     third.sock.close()
 
 
+def test_exit_of_the_predecessor_is_told_apart_from_a_cut_connection(pair: Pair) -> None:
+    # A predecessor that lives on may still hold the channels listener.
+    pair.run_until(lambda: pair.new_operations.predecessor_events)
+    pair.old.peer_processes[0].end()
+    pair.run_until(lambda: not pair.new.peer_processes)
+    assert pair.new_operations.predecessor_events == ["stopped", "exited"]
+
+
+def test_predecessor_whose_message_is_unreadable_does_not_count_as_exited(pair: Pair) -> None:
+    pair.run_until(lambda: pair.new_operations.predecessor_events)
+    pair.old.peer_processes[0].stream.send(b"[]\n")
+    pair.run_until(lambda: not pair.new.peer_processes)
+    assert pair.new_operations.predecessor_events == ["stopped", "silent"]
+
+
 def test_unreadable_line_ends_only_the_connection(pair: Pair) -> None:
     pair.run_until(lambda: pair.old.successor is not None)
     peer = pair.new.peer_processes[0]
