VRRP: a replaced router closes its socket, and binds it anew if its successor ends

Cause: the paused router of the first process kept its socket, and so the address.

Change: the pause closes it; the successor has its own duplicate. Resuming binds it with the back-off, and no longer reads what had arrived meanwhile.

--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -87,9 +87,7 @@
         except OSError as error:
             if not is_retried:
                 raise
-            address = format_address(config.listen)
-            if self._is_new_failure(address, error):
-                log.info("vrrp-socket-unavailable", address=address, error=error.strerror)
+            self._handle_vrrp_failure(config, error)
             # The peers count the predecessor as gone by then: this router starts as a backup.
             self.bind_retry.schedule(partial(self._start_vrrp, config, was_active=False, is_retried=True))
             return
@@ -211,14 +209,17 @@
     @property
     def is_retrying(self) -> bool:
         """Whether this proxy is due to listen, or to start VRRP, and retries as its last attempt failed."""
-        if self.vrrp is not None:
-            return self.vrrp.router.is_retrying
-        return self.bind_retry.is_pending
+        return self.bind_retry.is_pending or (self.vrrp is not None and self.vrrp.router.is_retrying)
 
     def not_listening_reason(self) -> str:
         """Why this proxy can't accept channels, or take part in VRRP, although it should; empty otherwise."""
         return f"cannot bind {self.bind_failure}" if self.is_retrying else ""
 
+    def _handle_vrrp_failure(self, config: VrrpConfig, error: OSError) -> None:
+        address = format_address(config.listen)
+        if self._is_new_failure(address, error):
+            log.info("vrrp-socket-unavailable", address=address, error=error.strerror)
+
     def _is_new_failure(self, address: str, error: OSError) -> bool:
         """Note the failure; returns whether to log it: once for each address and cause while retried."""
         failure = f"{address}: {error.strerror}"
@@ -246,12 +247,21 @@
         self.is_replaced = False
         self._update_inherited_listener()
         if self.vrrp is not None:
-            self.vrrp.resume()
+            self._resume_vrrp(self.vrrp)
         elif self.vrrp_config is not None:
             self._start_vrrp(self.vrrp_config, was_active=False, is_retried=True)
         else:
             self._listen_or_retry()
 
+    def _resume_vrrp(self, vrrp: Vrrp) -> None:
+        try:
+            vrrp.resume()
+        except OSError as error:
+            self._handle_vrrp_failure(vrrp.config, error)
+            self.bind_retry.schedule(partial(self._resume_vrrp, vrrp))
+        else:
+            self.bind_retry.cancel()
+
     def stop(self) -> None:
         """Release the role of the active router, as this proxy shuts down; a listener stays open."""
         self.bind_retry.cancel()
--- a/linnetshift/vrrp/instance.py
+++ b/linnetshift/vrrp/instance.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from linnetshift.event_loop.actor import Actor, ActorCoroutine, Io
+from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.loop import Loop
 from linnetshift.event_loop.timers import MS, Timeout, Timer
 from linnetshift.observability import log
@@ -59,11 +60,7 @@
         self.reported_state = self.router.state
         self.timer: Timer | None = None
         self.timer_tag: object = None  # of `timer`; a timeout with another tag is from a replaced timer
-        if inherited_socket is not None:
-            self.sock = inherited_socket
-        else:
-            self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            self.sock.bind(config.listen)
+        self.sock = inherited_socket if inherited_socket is not None else _open_socket(config.listen)
         self.sock.setblocking(False)
         self._watch_socket()
 
@@ -92,6 +89,7 @@
     def pause(self, successor_is_active: bool) -> None:
         """Leave this router's state to the process that takes over; the peers see no change.
 
+        The socket is closed: kept open, it would hold the address against a later process of this proxy.
         Where the successor starts as a backup, an active router releases its role first: silent, it would
         leave the group without an active router until the peers' timers expire.
         """
@@ -99,12 +97,14 @@
             self.router.release_active()
             self._report_state()
         self.is_paused = True
-        self.loop.unwatch(self.sock.fileno())
+        self._close_socket()
         if self.timer is not None:
             self.timer.cancel()
 
     def resume(self) -> None:
-        """Continue in the state before the pause; the peers see no change."""
+        """Continue in the state before the pause; raises OSError, and stays paused, if it cannot bind."""
+        self.sock = _open_socket(self.config.listen)
+        self.sock.setblocking(False)
         self.is_paused = False
         self._watch_socket()
         if self.router.state is State.ACTIVE:
@@ -117,10 +117,14 @@
         """Shut down; an active router first advertises that it stops."""
         if not self.is_paused:
             self.router.stop()
-            self.loop.unwatch(self.sock.fileno())
-        self.sock.close()
+        self._close_socket()
         self.end()
 
+    def _close_socket(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.unwatch(self.sock.fileno())
+            self.sock.close()
+
     def _report_state(self) -> None:
         """Log a change of state, and stop serving when the router is no longer active."""
         previous = self.reported_state
@@ -165,3 +169,14 @@
             return
         if advertisement.vrid == self.config.vrid and sender in self.config.peers:
             self.router.handle_advertisement(advertisement, sender[0])
+
+
+def _open_socket(address: Address) -> socket.socket:
+    """Return a UDP socket bound to the address; raises OSError and leaves no descriptor open."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/tests/test_vrrp_hot_restart.py
+++ b/tests/test_vrrp_hot_restart.py
@@ -276,3 +276,28 @@
             assert PRIORITY_RELEASED in peer.received_within(1.0)
             wait_until_refused(old.channels_port)
             assert open_connections
+
+
+def test_vrrp_is_switched_off_and_on_again_while_the_first_process_lives(tmp_path: Path) -> None:
+    # The first process held the socket of VRRP: the third ended at its start ('Address already in use').
+    with (
+        vrrp_peer() as peer,
+        started_proxy(
+            tmp_path,
+            broker_toml=CHANNELS_ENABLED + peer.vrrp_table(),
+            admin_server=True,
+            inherits_listener=True,
+        ) as first,
+    ):
+        open_connections: list[object] = [first.establish()]
+        replace_in_broker_file(first, peer.vrrp_table(), "")
+        with successor_of(first) as second:
+            second.wait_until_ready()
+            open_connections.append(second.establish())
+            switch_vrrp_on(first, peer)
+            with successor_of(second) as third:
+                third.wait_until_ready()
+                peer.discard_received()
+                peer.wait_until_active()
+                open_connections.append(open_channel(third))
+                assert first.process.poll() is None
