--- a/tests/test_takeover_socket.py
+++ b/tests/test_takeover_socket.py
@@ -18,6 +18,7 @@
 from linnetshift.broker.contracts import Contract
 from linnetshift.event_loop.loop import Loop
 from linnetshift.lifecycle import takeover_socket
+from linnetshift.lifecycle.channels_activation import PredecessorChannels
 from linnetshift.lifecycle.imported_state import ImportedState
 from linnetshift.lifecycle.takeover_messages import PeerResources
 from linnetshift.lifecycle.takeover_socket import (
@@ -206,6 +207,20 @@
     assert [record.getMessage() for record in caplog.records] == [event]
 
 
+@pytest.mark.parametrize(
+    ("state", "channels"),
+    [
+        ({"say": "state"}, PredecessorChannels(was_active=False, closes_listener=False)),  # older versions
+        ({"active": True, "closes_listener": 1}, PredecessorChannels(was_active=True, closes_listener=False)),
+        ({"active": False, "closes_listener": True}, PredecessorChannels(False, True)),
+    ],
+)
+def test_predecessor_keeps_its_listener_unless_the_state_says_that_it_closes_it(
+    state: dict[str, Any], channels: PredecessorChannels
+) -> None:
+    assert imported(state).predecessor_channels() == channels
+
+
 def test_passed_sockets_are_named_as_in_the_state() -> None:
     passed_socket, its_peer = socket.socketpair()
     imported_state = imported({"passed": ["channels", "vrrp"]}, [passed_socket.detach()])
