Hot restart: a process does not take its own takeover socket for that of a third one

Callers saw: a process whose successor ended right after it had said that it serves, before it listened at the takeover socket, stayed replaced: nobody accepted.

Cause: _is_replaced_by_another counted any listener but the successor, this process among them.

Change: it leaves its own process out.

Evidence: test_process_accepts_again_after_a_successor_that_never_listened_for_its_own fails without the change and passes with it, as does the hostile peer's test.

--- a/linnetshift/lifecycle/hot_restart.py
+++ b/linnetshift/lifecycle/hot_restart.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from collections.abc import Callable
 
@@ -160,7 +161,8 @@
         """Whether a process that replaced the successor listens at the takeover socket."""
         if self.socket_path is None:
             return False
-        return self.socket_path.listening_process() not in (0, successor.process_id)
+        # A successor that ends before it listens leaves this process's own socket in place.
+        return self.socket_path.listening_process() not in (0, os.getpid(), successor.process_id)
 
     def apply_administrative_drain(
         self,
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -10,6 +10,7 @@
 import pytest
 from conftest import MS, S, balancer, ended, only, request
 from connections import WAIT_S
+from emulated_successor import EmulatedSuccessor
 from proxy_harness import CHANNELS_ENABLED, launch_process, started_proxy, successor_of
 from running_proxy import DRAIN_CALL, RESTORE_CALL, establish_on, ranked
 
@@ -96,6 +97,19 @@
             third.establish()
 
 
+def test_process_accepts_again_after_a_successor_that_never_listened_for_its_own(tmp_path: Path) -> None:
+    # It took its own takeover socket for that of a third process, and stayed replaced until it exited.
+    with started_proxy(tmp_path, admin_server=True, inherits_listener=True) as running:
+        connection = running.establish()
+        with EmulatedSuccessor(tmp_path) as successor:
+            successor.replace()
+            running.logged("event=process-replaced")
+        running.logged("event=successor-gone")
+        running.wait_until_ready()
+        running.establish()
+        assert connection
+
+
 @pytest.mark.parametrize("is_terminating", [False, True])
 def test_process_stays_replaced_when_a_successor_that_was_replaced_in_turn_ends(
     tmp_path: Path, is_terminating: bool
