--- a/tests/test_peer_process.py
+++ b/tests/test_peer_process.py
@@ -172,6 +172,14 @@
     assert pair.new_operations.predecessor_events == ["stopped", "exited"]
 
 
+def test_connection_that_breaks_on_a_write_counts_as_the_exit_of_the_predecessor(pair: Pair) -> None:
+    # A heartbeat to a process that has exited fails before its end is read; the listener was kept for good.
+    pair.run_until(lambda: pair.new_operations.predecessor_events)
+    pair.new.peer_processes[0].stream.broken = True
+    pair.run_until(lambda: not pair.new.peer_processes)
+    assert pair.new_operations.predecessor_events == ["stopped", "exited"]
+
+
 def test_predecessor_whose_message_is_unreadable_does_not_count_as_exited(pair: Pair) -> None:
     pair.run_until(lambda: pair.new_operations.predecessor_events)
     pair.old.peer_processes[0].stream.send(b"[]\n")
