--- a/review/parts2.py
+++ b/review/parts2.py
@@ -360,7 +360,8 @@
         """End the processes, and remove the temporary folder."""
         for proxy in self.proxies:
             await proxy.kill()
-        shutil.rmtree(self.temporary, ignore_errors=True)
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(self.temporary, ignore_errors=True)
 
 
 async def request(
