--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,13 +5,10 @@
 import asyncio
 import copy
 import signal
-import sys
 from collections import Counter
 from pathlib import Path
 from typing import Any
 
-sys.path[:0] = [str(Path(__file__).resolve().parent.parent), str(Path(__file__).resolve().parents[2])]
-
 from parts2 import BROKEN, HELD, MS, Case, Connection, Discovery, S, Server, main, request
 
 from rig.base_settings import changed_settings
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,4 +2,5 @@
 # Exit status: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 test -x .venv/bin/python || exit 2
+export PYTHONPATH=.:review
 exec .venv/bin/python review/6/case.py
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,12 +4,9 @@
 
 import asyncio
 import random
-import sys
 from pathlib import Path
 from typing import Any
 
-sys.path[:0] = [str(Path(__file__).resolve().parent.parent), str(Path(__file__).resolve().parents[2])]
-
 from parts2 import BROKEN, HELD, Case, Discovery, Proxy, S, Server, main, request
 
 from rig.base_settings import changed_settings
@@ -87,7 +84,9 @@
     for arrived, uid, request_id in sorted(late):
         case.record.note(f"late: {request_id} at draining {uid}, {arrived - told_by:.3f} s after it was told")
     sends = sum(len(server.got) for server in servers)
-    case.record.note(f"told at {told_by:.3f} at the latest; {sends} sends, {len(late)} too late at draining servers")
+    case.record.note(
+        f"told at {told_by:.3f} at the latest; {sends} sent, {len(late)} too late at draining servers"
+    )
     return BROKEN if late else HELD
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -6,12 +6,9 @@
 import contextlib
 import random
 import signal
-import sys
 from pathlib import Path
 from typing import Any
 
-sys.path[:0] = [str(Path(__file__).resolve().parent.parent), str(Path(__file__).resolve().parents[2])]
-
 from channels2 import ClientChannel, ClientSession
 from parts2 import BROKEN, HELD, CannotRunError, Case, Discovery, Server, free_port, main
 
@@ -87,11 +84,13 @@
     ]
     for session, channel in unanswered:
         case.record.note(
-            f"{session.name} channel {channel.number} sent at {channel.opened_at:.3f}: no answer, {session.end}"
+            f"{session.name} channel {channel.number} of {channel.opened_at:.3f}: no answer, {session.end}"
         )
     answered = sum(1 for _, channel in opened if channel.answer)
     up = sum(1 for _, channel in opened if channel.answer == "up")
-    case.record.note(f"{len(opened)} CHANNEL_OPEN, {answered} answered, {up} up, {len(unanswered)} without answer")
+    case.record.note(
+        f"{len(opened)} CHANNEL_OPEN, {answered} answered, {up} up, {len(unanswered)} without answer"
+    )
     if not up:
         raise CannotRunError("no channel was up")
     return BROKEN if unanswered else HELD
--- a/review/channels2.py
+++ b/review/channels2.py
@@ -142,7 +142,6 @@
             channel.has_eof = True
         elif kind == REQUEST:
             channel.requests.append(rest[4 : 4 + int.from_bytes(rest[:4], "big")])
-        elif kind == CLOSE:
-            if not channel.is_closed.is_set():
-                channel.is_closed.set()
-                self.close_channel(channel)
+        elif kind == CLOSE and not channel.is_closed.is_set():
+            channel.is_closed.set()
+            self.close_channel(channel)
--- a/review/parts2.py
+++ b/review/parts2.py
@@ -283,7 +283,8 @@
         self.server.close()
         for connection in list(self.open):
             connection.writer.transport.abort()
-        self.case.record.note(f"server {self.uid} stopped")
+        if self.is_noted:
+            self.case.record.note(f"server {self.uid} stopped")
 
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Its entry in the list."""
@@ -388,6 +389,43 @@
     return request_id, text, None, None
 
 
+class StandingClient:
+    """A client with a standing connection: it sends a line every 2 s until it is told to move or cut off."""
+
+    def __init__(self, case: Case, proxy: Proxy, fields: str, key: int, wait_ms: int) -> None:
+        self.case = case
+        self.proxy = proxy
+        self.fields = fields
+        self.key = key
+        self.wait_ms = wait_ms
+        self.answer = ""
+        self.is_up = asyncio.Event()
+        self.end = ""
+        self.ended = 0.0
+
+    async def run(self) -> None:
+        """Live until the connection ends."""
+        request_id, self.answer, reader, writer = await request(
+            self.case, self.proxy, self.fields, self.key, self.wait_ms
+        )
+        self.is_up.set()
+        if reader is None or writer is None:
+            return
+        try:
+            while not self.end:
+                writer.write(b"status\r\n")
+                line = await asyncio.wait_for(reader.readline(), 8)
+                if line.strip() != b"status":
+                    self.end = line.decode().strip() or "cut off"
+                else:
+                    await asyncio.sleep(2)
+        except (TimeoutError, OSError) as error:
+            self.end = f"cut off ({type(error).__name__})"
+        self.ended = self.case.record.now()
+        self.case.record.note(f"client {request_id} {self.fields}: {self.end}")
+        writer.close()
+
+
 def main(folder: Path, play: Callable[[Case], Awaitable[int]], limit_s: float = 110) -> None:
     """Play a case and exit with its status."""
 
@@ -395,7 +433,7 @@
         case = Case(folder)
         try:
             status = await asyncio.wait_for(play(case), limit_s)
-        except (CannotRunError, OSError, asyncio.TimeoutError) as error:
+        except (TimeoutError, CannotRunError, OSError) as error:
             case.record.note(f"could not run: {type(error).__name__} {error}")
             status = COULD_NOT_RUN
         finally:
