--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,33 +1,25 @@
-"""Case 7: after an outage of discovery, proxies of a large fleet go on sending to servers that drain."""
+"""Case 7: clients adopted at a server that drains are never told to move, and are cut off when it leaves."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 from pathlib import Path
 from typing import Any
 
-from parts2 import BROKEN, HELD, Case, Discovery, Proxy, S, Server, main, request
+from parts2 import BROKEN, HELD, CannotRunError, Case, Discovery, S, Server, StandingClient, main
 
 from rig.base_settings import changed_settings
 
-FLEET = 200  # proxies in the fleet, by the settings; some of them are started
-QUIET_S = 12.0  # before the outage: the first watch has been answered
-OUTAGE_S = 16.0
-TOLD_AFTER_S = 6.0  # after discovery had the change and could be reached
-GRACE_S = 1.0 + 0.05  # rules.drainGraceNs, and the 50 ms by which each limit on sockets is longer
-MAX_LATENESS_S = 0.05  # by which these stand-ins may be late themselves
-# The seeds give the back-offs. With 200 proxies at random seeds, some 4 are late after each outage; so that a
-# few proxies are enough, these seeds are of such.
-SEEDS = ("43c", "521", "b2c", "d1f", "da1", "f65")
+ADOPTED = 8  # connections that were open at the server before the run
+STOPS_AFTER_S = 15.0  # after it began to drain
+ADOPT_WITHIN_MS = 40_000
 
 
-def settings(number: int) -> dict[str, Any]:
-    """Discovery is asked; the figures of the first deployment, in a fleet of 200 proxies."""
+def settings() -> dict[str, Any]:
+    """Discovery is asked."""
     return changed_settings(
         {
-            "myNumber": number,
-            "balancers": FLEET,
+            "balancers": 3,
             "discovery": "ask",
             "zones": ["a"],
             "models": ["m"],
@@ -36,58 +28,46 @@
     )
 
 
-async def send_requests(case: Case, proxies: list[Proxy], seconds: float) -> None:
-    """A steady load on each proxy; each client leaves once it is up."""
-    draw = random.Random(7)
-    until = case.record.now() + seconds
-    running: set[asyncio.Task[None]] = set()
-
-    async def one(proxy: Proxy) -> None:
-        _, _, _, writer = await request(case, proxy, "c=feed", draw.getrandbits(63), 2000)
-        if writer is not None:
-            writer.close()
-
-    while case.record.now() < until:
-        for proxy in proxies:
-            task = asyncio.create_task(one(proxy))
-            running.add(task)
-            task.add_done_callback(running.discard)
-        await asyncio.sleep(0.1)
-    await asyncio.gather(*running)
-
-
 async def play(case: Case) -> int:
-    """Discovery is down for 16 s; as it returns, half of the servers drain, and serve on."""
+    """A server begins to drain just before the connections that are open there come back."""
     discovery = Discovery(case)
-    servers = [Server(case, f"s-{number}") for number in range(6)]
+    servers = [Server(case, f"s-{number}") for number in range(3)]
     for server in servers:
         await server.start()
         discovery.put(**server.entry())
     await discovery.start()
-    proxies = []
-    for number, seed in enumerate(SEEDS):
-        proxies.append(case.proxy(f"n{number}", case.config(settings(number), discovery, f"n{number}", seed)))
-    await asyncio.gather(*(proxy.start() for proxy in proxies))
-    await asyncio.sleep(QUIET_S)
-    if case.has_trouble:
-        discovery.stop()
-    await asyncio.sleep(OUTAGE_S)
+    proxy = case.proxy("n1", case.config(settings(), discovery))
+    await proxy.start()
+    await asyncio.sleep(1)
     if case.has_trouble:
-        await discovery.start()
-    draining = servers[:3]
-    await discovery.change([server.uid for server in draining], state="DRAINING")
-    told_by = case.record.now() + TOLD_AFTER_S
-    await asyncio.sleep(3)
-    await send_requests(case, proxies, 7)
-    last = told_by + GRACE_S + MAX_LATENESS_S
-    late = [(c.arrived, s.uid, c.id) for s in draining for c in s.got if c.arrived > last]
-    for arrived, uid, request_id in sorted(late):
-        case.record.note(f"late: {request_id} at draining {uid}, {arrived - told_by:.3f} s after it was told")
-    sends = sum(len(server.got) for server in servers)
+        await discovery.change(["s-0"], state="DRAINING")
+        began = case.record.now()
+        await asyncio.sleep(0.5)
+    clients = [
+        StandingClient(case, proxy, "c=feed,at=s-0", 0x1234567 * (n + 1), ADOPT_WITHIN_MS)
+        for n in range(ADOPTED)
+    ]
+    tasks = [asyncio.create_task(client.run()) for client in clients]
+    await asyncio.gather(*(client.is_up.wait() for client in clients))
+    if not all(client.answer.startswith("UP ") for client in clients):
+        raise CannotRunError("not all connections came up")
+    if not case.has_trouble:
+        await asyncio.sleep(0.5)
+        await discovery.change(["s-0"], state="DRAINING")
+        began = case.record.now()
+    told = discovery.told_at.get(("s-0", "DRAINING"), began)
+    case.record.note(f"told that s-0 drains at {told:.3f}")
+    await asyncio.sleep(began + STOPS_AFTER_S - case.record.now())
+    servers[0].stop()
+    stopped = case.record.now()
+    await asyncio.sleep(2.5)
+    cut = [client for client in clients if client.end != "MOVE"]
     case.record.note(
-        f"told at {told_by:.3f} at the latest; {sends} sent, {len(late)} too late at draining servers"
+        f"s-0 left at {stopped:.3f}; {len(cut)} of {ADOPTED} clients were not told to move before"
     )
-    return BROKEN if late else HELD
+    for task in tasks:
+        task.cancel()
+    return BROKEN if cut else HELD
 
 
 if __name__ == "__main__":
