--- a/review/parts2.py
+++ b/review/parts2.py
@@ -340,6 +340,8 @@
             connection.line = await reader.readline()
             if connection.line.startswith((b"PING", b"STATS")):
                 writer.write(b"NO\r\n")
+            elif not connection.line.startswith(b"OPEN "):  # of no client here: not counted
+                writer.write(b"SYNTAX\r\n")
             elif connection.line.endswith(b"\n"):
                 connection.arrived = self.case.record.now()
                 connection.id = connection.line.split(b" ")[1].decode()
