--- a/review/parts2.py
+++ b/review/parts2.py
@@ -475,8 +475,14 @@
 
     async def run() -> int:
         case = Case(folder)
+        playing = asyncio.ensure_future(play(case))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
-            status = await asyncio.wait_for(play(case), limit_s)
+            status = await asyncio.wait_for(playing, limit_s)
+        except asyncio.CancelledError:
+            case.record.note("could not run: ended by a signal")
+            status = COULD_NOT_RUN
         except (TimeoutError, CannotRunError, OSError) as error:
             case.record.note(f"could not run: {type(error).__name__} {error}")
             status = COULD_NOT_RUN
