--- a/review/parts2.py
+++ b/review/parts2.py
@@ -104,6 +104,7 @@
             "LINNETSHIFT_BROKER": str(self.broker_path),
             "TMPDIR": str(self.tmpdir),
         }
+        env.pop("PYTHONPATH", None)  # for the stand-ins, not for the program
         inherited = []
         if self.listener is not None:
             inherited = [self.listener.fileno()]
