Proxy file: a key that an item of a list lacks makes the file rejected

Cause: the check against the last good file compared objects only and did not enter lists, and the reader then filled in the widest scope.

Change: `KeyTree` holds the keys at every depth. Items are matched by name, so that one that was added or removed is no missing key; unnamed items by position, or by their common keys where their number changed. Optional values are checked where they are present. Nesting is limited to 64 levels in both files.

test_optional_values_fall_back_to_their_default asserted that a text in place of a number gives the default: that was the fault; test_present_optional_value_of_a_wrong_type_or_range_is_rejected takes its place.

--- a/linnetshift/config/broker_file.py
+++ b/linnetshift/config/broker_file.py
@@ -16,6 +16,7 @@
     MissingKeyError,
     UnreadableFileError,
 )
+from linnetshift.config.key_tree import NestingError, check_nesting
 from linnetshift.config.names import NameRegistry
 from linnetshift.event_loop.address import Address, parse_address
 from linnetshift.routing.settings import Settings
@@ -65,9 +66,15 @@
 
 def _load_document(file: Path) -> dict[str, Any]:
     try:
-        return tomllib.loads(file.read_text(encoding="utf-8"))
+        document = tomllib.loads(file.read_text(encoding="utf-8"))
+        check_nesting(document)
+        return document
     except OSError as error:
         raise UnreadableFileError(file, error.strerror) from None
+    except RecursionError:
+        raise InvalidValueError(file, NestingError()) from None
+    except NestingError as error:
+        raise InvalidValueError(file, error) from None
     except ValueError as error:
         raise FileSyntaxError(file, "TOML", error) from None
 
--- a/linnetshift/config/names.py
+++ b/linnetshift/config/names.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from linnetshift.routing.settings import Settings
+from linnetshift.routing.settings_reader import SettingsReader
 
 UNKNOWN_NUMBER = -1  # the number of a name that the settings do not list
 
@@ -37,15 +38,16 @@
     ) -> None:
         """Number the names in the settings; names in `former` keep their numbers.
 
-        Raises ValueError if there are more than `MAX_NAMES` names of one kind.
+        Raises ValueError if there are more than `MAX_NAMES` names of one kind, and SettingsError, which is a
+        ValueError too, for a list of another form.
         """
         former_numbers = former.numbered_names() if former is not None else NumberedNames({}, {}, {})
         self.classes = {
             parsed_settings.classes[number].name: number for number in parsed_settings.offered_numbers
         }
-        self.tenants = self._number(raw_settings.get("tenants"), former_numbers.tenants)
-        self.zones = self._number(raw_settings.get("zones"), former_numbers.zones)
-        self.kinds = self._number(raw_settings.get("models"), former_numbers.kinds)
+        self.tenants = self._number(self.names_in(raw_settings, "tenants"), former_numbers.tenants)
+        self.zones = self._number(self.names_in(raw_settings, "zones"), former_numbers.zones)
+        self.kinds = self._number(self.names_in(raw_settings, "models"), former_numbers.kinds)
 
     def numbered_names(self) -> NumberedNames:
         """The tables themselves, not copies."""
@@ -70,16 +72,15 @@
                 del self.classes[name]
 
     @staticmethod
-    def names_in(listed: object) -> list[str]:
-        """The names in a list from the settings, whose items are names or objects with a key `name`."""
-        items = listed if isinstance(listed, list) else []
-        return [str(item.get("name") if isinstance(item, dict) else item) for item in items]
+    def names_in(raw_settings: dict[str, object], key: str) -> list[str]:
+        """Return the names in one of the settings' lists; raises SettingsError where it is no such list."""
+        return SettingsReader(raw_settings).optional_names(key)
 
-    @classmethod
-    def _number(cls, listed: object, former_numbers: dict[str, int]) -> dict[str, int]:
+    @staticmethod
+    def _number(listed: list[str], former_numbers: dict[str, int]) -> dict[str, int]:
         """A copy of `former_numbers`, with the next numbers added for new names in `listed`."""
         numbers = dict(former_numbers)
-        for name in cls.names_in(listed):
+        for name in listed:
             numbers.setdefault(name, len(numbers))
         if len(numbers) > MAX_NAMES:
             raise ValueError(
--- a/linnetshift/config/proxy_file.py
+++ b/linnetshift/config/proxy_file.py
@@ -17,17 +17,16 @@
     MissingSettingsError,
     UnreadableFileError,
 )
+from linnetshift.config.key_tree import KeyTree, NestingError, check_nesting, check_unique_names
 from linnetshift.config.names import NameRegistry
 from linnetshift.discovery.endpoint_list import EndpointListUpdate, parse_endpoint_list
 from linnetshift.event_loop.address import Address, parse_address
 from linnetshift.routing.settings import Settings
+from linnetshift.routing.settings_reader import SettingsReader
 
 PROXY_FILE_VARIABLE = "GW_CONFIG"  # its path
 ADMIN_ADDRESS_VARIABLE = "GW_ADMIN_ADDR"  # takes precedence over the key `admin_addr`
 
-KeyTree = dict[str, Any]
-"""The keys of an object, each with the `KeyTree` of its value, which is empty if that is not an object."""
-
 
 class ProxyConfig(NamedTuple):
     """The contents of the proxy file."""
@@ -69,8 +68,13 @@
     try:
         with open(path, encoding="utf-8") as file:
             document: Any = json.load(file)
+        check_nesting(document)
     except OSError as error:
         raise UnreadableFileError(path, error.strerror) from None
+    except RecursionError:
+        raise InvalidValueError(path, NestingError()) from None
+    except NestingError as error:
+        raise InvalidValueError(path, error) from None
     except ValueError as error:
         raise FileSyntaxError(path, "JSON", error) from None
     if not isinstance(document, dict) or not isinstance(document.get("settings"), dict):
@@ -82,13 +86,17 @@
     document: dict[str, Any], former: ProxyConfig | None, classes_in_use: Collection[int] | None
 ) -> ProxyConfig:
     """Raises KeyError for a missing key, and INVALID_VALUE_ERRORS for values of a wrong type or range."""
-    _check_keys(document, former.keys if former is not None else {})
+    keys = KeyTree.of(document)
+    missing_path = former.keys.missing_path(keys) if former is not None else None
+    if missing_path is not None:
+        raise KeyError(missing_path)
     listen = parse_address(str(document["listen"]))
     discovery = parse_address(str(document["discovery"]))
     raw_settings = document["settings"]
     settings = Settings.parse(raw_settings)
     if former is not None:
         settings = settings.numbered_after(former.settings, classes_in_use)
+    check_unique_names(raw_settings, "settings")
     names = NameRegistry(raw_settings, settings, former.names if former is not None else None)
     return ProxyConfig(
         name=str(document.get("name", "")),
@@ -96,20 +104,20 @@
         discovery=discovery,
         seed=int(str(document.get("seed", "0")), 16),
         cached_list=parse_endpoint_list(document.get("known", {"targets": []}), names, is_cached=True),
-        settings=_with_registered_zone(settings, raw_settings.get("zones"), names),
+        settings=_with_registered_zone(settings, raw_settings, names),
         names=names,
-        max_sockets=int((document.get("limits") or {}).get("sockets") or 0),
+        max_sockets=_read_max_sockets(document),
         admin=_admin_address(document),
-        keys=_key_tree(document),
+        keys=keys,
     )
 
 
-def _with_registered_zone(settings: Settings, raw_zones: object, names: NameRegistry) -> Settings:
+def _with_registered_zone(settings: Settings, raw_settings: dict[str, Any], names: NameRegistry) -> Settings:
     """The settings with this proxy's zone number from the registry.
 
     The file contains it as an index into its own list of zones, whose order may change at a reload.
     """
-    zones = names.names_in(raw_zones)
+    zones = names.names_in(raw_settings, "zones")
     if 0 <= settings.zone < len(zones):
         return replace(settings, zone=names.zones[zones[settings.zone]])
     return settings
@@ -120,16 +128,7 @@
     return parse_address(str(address)) if address else None
 
 
-def _key_tree(document: dict[str, Any]) -> KeyTree:
-    return {key: _key_tree(value) if isinstance(value, dict) else {} for key, value in document.items()}
-
-
-def _check_keys(document: Any, keys: KeyTree, path: str = "") -> None:
-    """Raise KeyError with the dotted path of the first key in `keys` that the document lacks.
-
-    At a reload, a file without a former key is rejected as broken, even if the key is optional.
-    """
-    for key, nested_keys in keys.items():
-        if not isinstance(document, dict) or key not in document:
-            raise KeyError(path + key)
-        _check_keys(document[key], nested_keys, f"{path}{key}.")
+def _read_max_sockets(document: dict[str, Any]) -> int:
+    """Return the platform's limit of sockets, 0 where it sets none."""
+    limits = SettingsReader(document).optional_object("limits")
+    return int(limits.optional_number("sockets", 0))
--- a/linnetshift/routing/settings.py
+++ b/linnetshift/routing/settings.py
@@ -12,7 +12,7 @@
 from enum import IntEnum
 from typing import Any, NamedTuple
 
-from linnetshift.routing.settings_reader import SettingsError, SettingsReader, number_or
+from linnetshift.routing.settings_reader import SettingsError, SettingsReader
 
 CROSS_ZONE_COST_SCALE = 0.056
 """Cross-zone cost, in requests, at which an endpoint in another zone has 1/e of its weight.
@@ -258,20 +258,20 @@
 class _MessageObjectives(NamedTuple):
     """Message latency objectives of the classes, as given in the settings."""
 
-    values: list[Any]  # in nanoseconds, by class; some deployments send fewer, or nulls
+    values: list[float | None]  # in nanoseconds, by class; some deployments send fewer, or nulls
     shortest_ns: int
 
     def of_class(self, index: int) -> int:
         """Return a class's objective in nanoseconds, 0 for none; classes beyond the list get the shortest."""
         if index < len(self.values):
-            return int(number_or(self.values[index], 0))
+            return int(self.values[index] or 0)
         return self.shortest_ns
 
 
 def _read_message_objectives(family: SettingsReader) -> _MessageObjectives:
     """Read `messageAimNs`; empty where it is missing."""
-    values = family.optional_list("messageAimNs")
-    shortest_ns = int(min((number_or(value, 0) for value in values), default=0))
+    values = family.optional_numbers("messageAimNs")
+    shortest_ns = int(min((value or 0 for value in values), default=0))
     return _MessageObjectives(values, shortest_ns)
 
 
@@ -296,7 +296,7 @@
     service: SettingsReader, index: int, objectives: _MessageObjectives, max_attempts: int
 ) -> RequestClass:
     """Read one of `services`; a message objective of 0 stands for none."""
-    name = service.optional_text("name", index)
+    name = service.optional_name("name", index)
     latency_objective_ns = service.positive_int("aimNs")
     return RequestClass(
         name=name,
@@ -314,7 +314,7 @@
 
 def _read_scope(service: SettingsReader) -> Scope:
     """Read `group` of one of `services`; all endpoints where it is missing."""
-    name = service.optional_text("group", "all").upper()
+    name = service.optional_name("group", "all").upper()
     if name not in Scope.__members__:
         raise service.unknown_value_error("group")
     return Scope[name]
@@ -322,13 +322,13 @@
 
 def _read_tenants(reader: SettingsReader, family: SettingsReader) -> tuple[Tenant, ...]:
     """Read `tenants`, with their connection quotas, if there are any."""
-    quotas = family.optional_list("tenantQuotaConnections")
+    quotas = family.optional_numbers("tenantQuotaConnections")
     tenants: list[Tenant] = []
     for index, values in enumerate(reader.optional_list("tenants")):
-        tenant = SettingsReader(values)
-        name = tenant.optional_text("name", index)
+        tenant = SettingsReader(values, f"tenants[{index}].")
+        name = tenant.optional_name("name", index)
         fraction = tenant.optional_number("fraction", 0.0)
-        quota = number_or(quotas[index], 0.0) if index < len(quotas) else 0.0
+        quota = (quotas[index] or 0.0) if index < len(quotas) else 0.0
         tenants.append(Tenant(name, fraction, quota))
     return tuple(tenants)
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import json
 from pathlib import Path
 from typing import Any
@@ -87,6 +88,94 @@
     assert str(caught.value) == f"{file}: key 'limits.cores' is missing"
 
 
+def nested_document() -> dict[str, Any]:
+    """A proxy file with lists of named and unnamed items at several depths."""
+    return {
+        **DOCUMENT,
+        "known": {"rev": 1, "all": True, "targets": [{"uid": "s-1", "endpoint": "127.0.0.1:3"}]},
+        "settings": raw_settings(
+            tenants=[{"name": "acme", "fraction": 0.5}, {"name": "glen", "fraction": 0.5}],
+            extra=[{"limit": 1, "deep": [[{"name": "x", "unit": "ms"}]]}],
+        ),
+    }
+
+
+def remove_key(document: Any, path: list[Any]) -> dict[str, Any]:
+    """Return a copy of the document without the last key of the path."""
+    copied: Any = copy.deepcopy(document)
+    parent = copied
+    for step in path[:-1]:
+        parent = parent[step]
+    del parent[path[-1]]
+    return dict(copied)
+
+
+@pytest.mark.parametrize(
+    ("path", "missing"),
+    [
+        (["settings", "services", 0, "group"], "settings.services[feed].group"),
+        (["settings", "services", 0, "windowNs"], "settings.services[feed].windowNs"),
+        (["settings", "services", 0, "name"], "settings.services[0].name"),
+        (["settings", "tenants", 1, "fraction"], "settings.tenants[glen].fraction"),
+        (["settings", "extra", 0, "limit"], "settings.extra[0].limit"),
+        (["settings", "extra", 0, "deep", 0, 0, "unit"], "settings.extra[0].deep[0][x].unit"),
+        (["known", "targets", 0, "endpoint"], "known.targets[s-1].endpoint"),
+    ],
+    ids=str,
+)
+def test_file_that_lacks_a_former_key_of_an_item_of_a_list_is_rejected(
+    tmp_path: Path, path: list[Any], missing: str
+) -> None:
+    """Guards against review/6: a class without `group` was taken, and its requests ran in two zones."""
+    former = read_config(str(write_proxy_file(tmp_path, nested_document())))
+    file = write_proxy_file(tmp_path, remove_key(nested_document(), path))
+    with pytest.raises(MissingKeyError) as caught:
+        read_config(str(file), former)
+    assert str(caught.value) == f"{file}: key {missing!r} is missing"
+
+
+def test_items_that_were_added_removed_or_reordered_are_no_missing_keys(tmp_path: Path) -> None:
+    """Guards against a check of lists that forbids changes of the configuration."""
+    former = read_config(str(write_proxy_file(tmp_path, nested_document())))
+    document = nested_document()
+    settings = document["settings"]
+    settings["tenants"] = [{"name": "new"}, *reversed(settings["tenants"])]
+    settings["extra"] *= 2
+    document["known"]["targets"] = []
+    changed = read_config(str(write_proxy_file(tmp_path, document)), former)
+    settings["tenants"] = []
+    settings["extra"] = []
+    assert read_config(str(write_proxy_file(tmp_path, document)), changed).settings.tenants == ()
+
+
+@pytest.mark.parametrize("levels", [100, 2_000, 100_000])
+def test_proxy_file_nested_too_deeply_is_rejected(tmp_path: Path, levels: int) -> None:
+    """Guards against a RecursionError that ended the process, at the start or at SIGHUP."""
+    nested = "[" * levels + "]" * levels
+    file = write_proxy_file(tmp_path, json.dumps(DOCUMENT)[:-1] + f', "list": {nested}}}')
+    with pytest.raises(InvalidValueError, match="nested deeper than 64 levels"):
+        read_config(str(file))
+
+
+@pytest.mark.parametrize("levels", [100, 2_000])
+def test_broker_file_nested_too_deeply_is_rejected(tmp_path: Path, levels: int) -> None:
+    """Guards against a RecursionError that ended the process, at the start or at SIGHUP."""
+    file = tmp_path / "broker.toml"
+    file.write_text(f"list = {'[' * levels}{']' * levels}")
+    config = read_config(str(write_proxy_file(tmp_path, DOCUMENT)))
+    with pytest.raises(InvalidValueError, match="nested deeper than 64 levels"):
+        read_broker_file(str(file), config.names, config.settings)
+
+
+@pytest.mark.parametrize("key", ["tenants", "zones", "models"])
+def test_name_that_is_listed_twice_is_rejected(tmp_path: Path, key: str) -> None:
+    """Guards against two items of one name, the rules of which would depend on their order."""
+    settings = raw_settings(**{key: [{"name": "a"}, {"name": "a"}]})
+    file = write_proxy_file(tmp_path, {**DOCUMENT, "settings": settings})
+    with pytest.raises(InvalidValueError, match=f"key 'settings.{key}' names 'a' twice"):
+        read_config(str(file))
+
+
 def test_error_of_missing_variable_names_it(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.delenv("GW_CONFIG", raising=False)
     with pytest.raises(EnvironmentVariableError, match=r"^GW_CONFIG does not name a configuration file$"):
--- a/tests/test_configuration_reloader.py
+++ b/tests/test_configuration_reloader.py
@@ -17,6 +17,7 @@
 from linnetshift.broker.broker import Broker
 from linnetshift.config.broker_file import BrokerConfig
 from linnetshift.config.errors import ConfigurationError
+from linnetshift.config.key_tree import KeyTree
 from linnetshift.config.loader import ConfigurationFiles, read_files
 from linnetshift.config.names import NameRegistry
 from linnetshift.config.proxy_file import ProxyConfig
@@ -53,7 +54,7 @@
         names=NameRegistry(raw, parsed),
         max_sockets=0,
         admin=address,
-        keys={},
+        keys=KeyTree(),
     )
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -45,6 +45,10 @@
     return {"services": [{**settings()["services"][0], **changes}]}
 
 
+def service_without(key: str) -> dict[str, Any]:
+    return {name: value for name, value in settings()["services"][0].items() if name != key}
+
+
 def test_open_request_keeps_the_rules_of_its_class_when_the_class_is_discontinued(tmp_path: Path) -> None:
     # Settings that removed or changed a class were rejected, and so were clients of a new class.
     feed = settings()["services"][0]
@@ -102,6 +106,12 @@
         ({"settings": settings(allowed={"maxAttempts": 0})}, "maxAttempts' must be above 0"),
         ({"settings": settings(services=2 * settings()["services"])}, "a class twice"),
         ({"known": {"rev": -1, "all": True, "targets": []}}, "no version"),
+        ({"settings": settings(services=[service_without("group")])}, "key 'settings.services.feed..group'"),
+        ({"settings": settings(services=[service_without("windowNs")])}, "services.feed..windowNs'"),
+        ({"settings": settings(**one_service(worth="2"))}, "'services.0..worth' must be a number"),
+        ({"settings": settings(**one_service(worth=math.inf))}, "'services.0..worth' must be from 0"),
+        ({"settings": settings(tenants=[{"name": "a"}, {"name": "a"}])}, "tenants' names 'a' twice"),
+        ({"limits": {"sockets": "many"}}, "'limits.sockets' must be a number"),
     ],
 )
 def test_unusable_configuration_is_rejected_and_changes_nothing(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
+import math
+import re
 from typing import Any
 
 import pytest
 from conftest import MS, S, raw_settings
 
 from linnetshift.routing.settings import Effect, Scope, Settings
-from linnetshift.routing.settings_reader import SettingsError, SettingsReader, number_or
+from linnetshift.routing.settings_reader import SettingsError, SettingsReader
 
 READER = SettingsReader(
     {"count": 3, "zero": 0, "share": 0.5, "flag": True, "name": "push", "items": [1], "none": None}, "rules."
 )
 
 
+def services(*changes: dict[str, Any]) -> list[dict[str, Any]]:
+    return [
+        {**raw_settings()["services"][0], "name": f"class-{n}", **change} for n, change in enumerate(changes)
+    ]
+
+
 def test_required_values_are_returned_with_their_type() -> None:
     assert READER.required_int("count") == 3
     assert READER.positive_int("count") == 3
@@ -71,11 +79,57 @@
 def test_optional_values_fall_back_to_their_default() -> None:
     assert READER.optional_number("share", 0.0) == 0.5
     assert READER.optional_number("none", 2.0) == 2.0
-    assert READER.optional_number("name", 2.0) == 2.0
+    assert READER.optional_number("absent", 2.0) == 2.0
     assert READER.optional_list("none") == []
-    assert READER.optional_text("count", "x") == "3"
-    assert READER.optional_text("absent", 7) == "7"
-    assert (number_or(4, 0), type(number_or(4, 0))) == (4.0, float)
+    assert READER.optional_numbers("none") == []
+    assert READER.optional_name("count", "x") == "3"
+    assert READER.optional_name("absent", 7) == "7"
+    assert READER.optional_object("none").values == {}
+
+
+@pytest.mark.parametrize(
+    ("method", "value", "text"),
+    [
+        ("optional_number", "5", "'x' must be a number"),
+        ("optional_number", True, "'x' must be a number"),
+        ("optional_number", [], "'x' must be a number"),
+        ("optional_number", math.nan, "'x' must be from 0 to below 2^63"),
+        ("optional_number", math.inf, "'x' must be from 0 to below 2^63"),
+        ("optional_number", -1, "'x' must be from 0 to below 2^63"),
+        ("optional_number", 1 << 63, "'x' must be from 0 to below 2^63"),
+        ("optional_name", [], "'x' must be a text"),
+        ("optional_name", None, "'x' must be a text"),
+        ("optional_numbers", [1, "a"], "'x[1]' must be a number"),
+    ],
+    ids=str,
+)
+def test_present_optional_value_of_a_wrong_type_or_range_is_rejected(
+    method: str, value: object, text: str
+) -> None:
+    """Guards against wrong settings that were taken for missing ones, and replaced by a default."""
+    reader = SettingsReader({"x": value})
+    arguments = () if method == "optional_numbers" else (1.0,)
+    with pytest.raises(SettingsError, match=re.escape(text)):
+        getattr(reader, method)("x", *arguments)
+
+
+@pytest.mark.parametrize(
+    ("changes", "path"),
+    [
+        ({"familyInfo": [1]}, "'familyInfo' must be an object"),
+        ({"tenants": {"a": 1}}, "'tenants' must be a list"),
+        ({"tenants": [3]}, "'tenants[0]' must be an object"),
+        ({"services": [3]}, "'services[0]' must be an object"),
+        ({"services": services({"windowNs": "5"})}, "'services[0].windowNs' must be a number"),
+        ({"services": services({"worth": -1})}, "'services[0].worth' must be from 0 to below 2^63"),
+        ({"fees": {"crossZone": []}}, "'fees.crossZone' must be a number"),
+    ],
+    ids=lambda value: value if isinstance(value, str) else "",
+)
+def test_wrong_value_at_any_depth_is_rejected_with_its_path(changes: dict[str, Any], path: str) -> None:
+    """Guards against errors without the place of the value, and wrong values that were ignored."""
+    with pytest.raises(SettingsError, match=re.escape(path)):
+        Settings.parse(raw_settings(**changes))
 
 
 def test_class_is_read_with_its_rules_and_the_limits_for_all_classes() -> None:
@@ -90,12 +144,6 @@
     assert (feed.priority_weight, feed.max_attempts) == (2.0, 4)
 
 
-def services(*changes: dict[str, Any]) -> list[dict[str, Any]]:
-    return [
-        {**raw_settings()["services"][0], "name": f"class-{n}", **change} for n, change in enumerate(changes)
-    ]
-
-
 @pytest.mark.parametrize(
     ("objectives", "expected"),
     [
