Channels: a CHANNEL_OPEN is answered before its session ends

Cause: a session without channels was sent DISCONNECT as soon as the proxy drained, and what came after it was discarded. RFC 4253, section 11.1, allows no packet after DISCONNECT, so an answer after it would be none.

Change: a session of a draining proxy stays and refuses channels with code 4. Where the client opens one channel at a time, DISCONNECT follows in the same write as the refusal: nothing else can be on its way. Other sessions end 5 s after the drain began, or at the end of a shutdown; only an open that is written while that DISCONNECT is on its way is left, and the session's docstring says so. An eviction answers what has arrived before it closes.

--- a/linnetshift/frontends/channels/channel_open.py
+++ b/linnetshift/frontends/channels/channel_open.py
@@ -105,10 +105,11 @@
         if channel_type != CHANNEL_TYPE:
             raise ChannelOpenError(OpenFailureReason.UNKNOWN_CHANNEL_TYPE, f"only {CHANNEL_TYPE} is known")
         open_request = ChannelOpenRequest.read(payload)
+        check_not_draining(session)
         class_number = find_class(session, open_request)
         check_capacity(session)
     except ChannelOpenError as error:
-        session.write(encode_open_failure(sender_channel, error.reason, str(error)))
+        session.refuse_open(encode_open_failure(sender_channel, error.reason, str(error)))
         return
     channel = Channel(
         session, next(session.channel_numbers), sender_channel, initial_window, max_packet_bytes
@@ -128,9 +129,15 @@
     return class_number
 
 
+def check_not_draining(session: Session) -> None:
+    """Raise ChannelOpenError if the session opens no more channels, whatever the request."""
+    if session.is_refusing:
+        raise ChannelOpenError(OpenFailureReason.RESOURCE_SHORTAGE, retry_after_text(0))
+
+
 def check_capacity(session: Session) -> None:
-    """Raise ChannelOpenError if the frontend drains, or the session or the frontend is full."""
-    if session.frontend.is_draining or len(session.channels) >= MAX_CHANNELS_PER_SESSION:
+    """Raise ChannelOpenError if the session or the frontend is full."""
+    if len(session.channels) >= MAX_CHANNELS_PER_SESSION:
         raise ChannelOpenError(OpenFailureReason.RESOURCE_SHORTAGE, retry_after_text(0))
     if session.frontend.is_full:
         # Channels cost a client nothing: without a limit, waiting ones would exhaust memory.
--- a/linnetshift/frontends/channels/frontend.py
+++ b/linnetshift/frontends/channels/frontend.py
@@ -10,7 +10,7 @@
 from linnetshift.event_loop.connection_limits import ConnectionLimiter
 from linnetshift.event_loop.loop import Loop
 from linnetshift.frontends.channels.channel import Channel
-from linnetshift.frontends.channels.session import DrainStarted, Session
+from linnetshift.frontends.channels.session import DrainOver, DrainStarted, Session
 from linnetshift.frontends.listener import Frontend
 from linnetshift.observability.resource_usage import ResourceUsage
 
@@ -39,10 +39,14 @@
         session.start(session.run())
 
     def drain(self) -> None:
-        """Stop listening; each open session ends once it has no channels."""
+        """Stop listening; each open session refuses channels, and ends as `session` describes."""
         self.is_draining = True
         self.close()
-        self._drain_sessions()
+        self._notify_sessions(DrainStarted())
+
+    def end_sessions(self) -> None:
+        """End each session of a draining frontend as soon as it has no channels."""
+        self._notify_sessions(DrainOver())
 
     def yield_to_successor(self) -> None:
         """Close this process's descriptor of the listener, and drain the open sessions.
@@ -54,9 +58,9 @@
             self.acceptor.set_paused(True)
         self.drain()
 
-    def _drain_sessions(self) -> None:
+    def _notify_sessions(self, message: DrainStarted | DrainOver) -> None:
         for session in self.sessions:
-            session.post(DrainStarted())
+            session.post(message)
 
     def resource_usage(self, connections: int) -> dict[str, ResourceUsage]:
         """Return the numbers of sessions and channels; at most `connections` sockets may be open."""
--- a/linnetshift/frontends/channels/session.py
+++ b/linnetshift/frontends/channels/session.py
@@ -1,7 +1,13 @@
 """One client connection of the channels frontend: identification, packets, keep-alives and channels.
 
 A session ends when the client leaves, violates the protocol, or stops reading or answering, or when the
-proxy drains and the last channel has ended.
+proxy drains. RFC 4253, section 11.1, allows no packet after DISCONNECT, so each CHANNEL_OPEN that was written
+before has to be answered first. While the proxy drains, the session stays and refuses channels. It ends
+
+- together with the refusal, where the client opens one channel at a time: it waits for this answer, so no
+  other CHANNEL_OPEN can be on its way;
+- otherwise DRAINED_SESSION_TIMEOUT_NS after the drain began, or as the process exits. Only then can a
+  CHANNEL_OPEN cross DISCONNECT: one that was written while DISCONNECT was on its way to the client.
 """
 
 from __future__ import annotations
@@ -51,8 +57,13 @@
 KEEPALIVE_INTERVAL_NS = 15 * S
 # A session ends if nothing has been received since this many keep-alives.
 MAX_UNANSWERED_KEEPALIVES = 3
+# How long a session without channels refuses channels after this proxy has begun to drain.
+DRAINED_SESSION_TIMEOUT_NS = 5 * S
+# How often a session that ends reads what has arrived; a client that sends at full speed must not delay it.
+MAX_FINAL_READS = 16
 # Reading from a client pauses while at least this much waits to be sent to it.
 MAX_UNSENT_BYTES = 65_536
+SHUT_DOWN_MESSAGE = encode_disconnect(DisconnectReason.BY_APPLICATION, "this proxy is leaving")
 
 
 class SessionTimer(Enum):
@@ -61,10 +72,15 @@
     IDENTIFICATION = "identification"
     PACKET = "packet"
     KEEPALIVE = "keepalive"
+    DRAIN = "drain"
 
 
 class DrainStarted(NamedTuple):
-    """Message from the frontend: the session ends once it has no channels."""
+    """Message from the frontend: no more channels are opened."""
+
+
+class DrainOver(NamedTuple):
+    """Message from the frontend: the session ends as soon as it has no channels."""
 
 
 class Session(StallDetector):
@@ -80,6 +96,11 @@
         self.channels: dict[int, Channel] = {}
         self.channel_numbers = count()
         self.channels_opened = 0
+        self.has_concurrent_channels = False  # now or earlier: their opens don't wait for each other
+        self.is_evicted = False
+        self.is_processing = False  # reads or handles input now
+        self.drain_timer: Timer | None = None
+        self.is_drain_over = False  # ends as soon as it has no channels
         self.write_queue: deque[Channel] = deque()
         self.packets_received = 0  # the last one's sequence number plus 1
         self.unanswered_keepalives = 0  # sent since anything was received
@@ -89,11 +110,20 @@
         self.began_at = self.loop.now()
 
     def evict(self) -> None:
-        """Close the socket immediately to free its descriptor."""
+        """Close the socket immediately to free its descriptor, after answering what has arrived."""
+        self.is_evicted = True
+        if self.end_reason is None and not self.is_processing:
+            self._answer_arrived()
+            self.stream.discard_input()  # closing with unread bytes sends a reset, which loses the answer
         self.stream.close()
         self.end_reason = self.end_reason or Reason.EVICTED
         self.post(Stop())
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether no more channels are opened."""
+        return self.frontend.is_draining or self.is_evicted
+
     # ---- the coroutine ----------------------------------------------------------------------
 
     def run(self) -> ActorCoroutine:
@@ -155,29 +185,41 @@
                         return
                 case Timeout(tag=SessionTimer.IDENTIFICATION):
                     self.end_reason = Reason.REQUEST_TIMEOUT
-                case DrainStarted() if self.frontend.is_draining:
+                case DrainOver() if self.frontend.is_draining:
                     self._shut_down()
 
     def _serve(self) -> Steps:
         """Exchange packets until the session ends."""
         self.set_timer(KEEPALIVE_INTERVAL_NS, SessionTimer.KEEPALIVE)
+        if self.frontend.is_draining:
+            self._start_drain()
         self._read_packets()
         while self.end_reason is None:
             match (yield):
                 case Io(mask):
                     self._handle_io(mask)
                     self._read_packets()
-                case Timeout(tag=CloseTimeout(channel)):
-                    channel.finish_close()
-                case Timeout(tag=SessionTimer.KEEPALIVE):
-                    self._send_keepalive()
-                case Timeout(tag=SessionTimer.PACKET):
-                    self._handle_packet_timeout()
-                case Timeout(tag=ConnectionTimer.STALL) if self.is_stalled():
-                    self.end_reason = Reason.STALLED
-            if self.frontend.is_draining and not self.channels and self.end_reason is None:
+                case DrainStarted():
+                    self._start_drain()
+                case DrainOver() | Timeout(tag=SessionTimer.DRAIN):
+                    self.is_drain_over = self.frontend.is_draining
+                case Timeout(tag=tag):
+                    self._handle_timeout(tag)
+            if self.is_drain_over and self.frontend.is_draining and not self.channels:
+                self._answer_arrived()
                 self._shut_down()
 
+    def _handle_timeout(self, tag: object) -> None:
+        match tag:
+            case CloseTimeout(channel):
+                channel.finish_close()
+            case SessionTimer.KEEPALIVE:
+                self._send_keepalive()
+            case SessionTimer.PACKET:
+                self._handle_packet_timeout()
+            case ConnectionTimer.STALL if self.is_stalled():
+                self.end_reason = Reason.STALLED
+
     def _handle_io(self, mask: int) -> None:
         """Write what the socket accepts, in turns of the channels; then read once."""
         if mask & select.EPOLLOUT:
@@ -204,9 +246,50 @@
         self.write(encode_global_request(KEEPALIVE_REQUEST))
         self.set_timer(KEEPALIVE_INTERVAL_NS, SessionTimer.KEEPALIVE)
 
+    def _start_drain(self) -> None:
+        """Refuse channels from now on; a drain that was interrupted starts anew."""
+        if self.drain_timer is not None:
+            self.drain_timer.cancel()
+        self.is_drain_over = False
+        self.drain_timer = self.set_timer(DRAINED_SESSION_TIMEOUT_NS, SessionTimer.DRAIN)
+
+    def refuse_open(self, failure: bytes) -> None:
+        """Answer a CHANNEL_OPEN with the payload `failure`; DISCONNECT follows where the drain allows it.
+
+        Both are one write: a client that opens a channel as soon as the last one was refused can't do so
+        between them.
+        """
+        packets = encode_packet(failure)
+        if self._is_drained():
+            packets += encode_packet(SHUT_DOWN_MESSAGE)
+            self.end_reason = Reason.SHUT_DOWN
+        self.stream.send(packets)
+        self.update_stall_timer()
+
+    def _is_drained(self) -> bool:
+        """Whether the proxy drains and the client, once refused, has no CHANNEL_OPEN on its way."""
+        is_idle = not self.channels and not self.has_concurrent_channels
+        return (
+            self.frontend.is_draining
+            and is_idle
+            and not self.stream.buffered_bytes
+            and self.stream.has_nothing_unread
+        )
+
+    def _answer_arrived(self) -> None:
+        """Read and answer what has arrived, as the session ends."""
+        try:
+            for _ in range(MAX_FINAL_READS):
+                if self.stream.has_nothing_unread or self.stream.fill() is not None:
+                    break
+                self._read_packets()
+        except ProtocolError as error:
+            log.info("packet-malformed", peer=self.peer[0], error=log.error_text(error))
+
     def _shut_down(self) -> None:
-        self.end_reason = Reason.SHUT_DOWN
-        self._disconnect(DisconnectReason.BY_APPLICATION, "this proxy is leaving")
+        if self.end_reason is None:
+            self.end_reason = Reason.SHUT_DOWN
+            self.write(SHUT_DOWN_MESSAGE)
 
     def _disconnect(self, reason: DisconnectReason, text: str) -> None:
         self.write(encode_disconnect(reason, text))
@@ -215,6 +298,7 @@
 
     def add_channel(self, channel: Channel) -> None:
         """Add a new channel; a session with channels is not evicted."""
+        self.has_concurrent_channels = self.has_concurrent_channels or bool(self.channels)
         self.channels[channel.sender_channel] = channel
         self.frontend.open_channels += 1
         self.frontend.connection_limiter.remove(self)
@@ -258,6 +342,13 @@
     # ---- reading ----------------------------------------------------------------------------
 
     def _read_packets(self) -> None:
+        self.is_processing = True
+        try:
+            self._handle_packets()
+        finally:
+            self.is_processing = False
+
+    def _handle_packets(self) -> None:
         while self.end_reason is None and (payload := read_packet(self.stream)) is not None:
             self.packets_received += 1
             if self.packet_timer is not None:
--- a/linnetshift/lifecycle/graceful_shutdown.py
+++ b/linnetshift/lifecycle/graceful_shutdown.py
@@ -59,6 +59,9 @@
     def notify_idle_clients(self) -> None:
         """Have the clients without a request migrate too."""
 
+    def end_sessions(self) -> None:
+        """End the sessions of the channels frontend that have no channels."""
+
 
 class ChannelMigrator(Actor):
     """Migrates a frontend's channels at an even rate once it no longer listens."""
@@ -169,10 +172,16 @@
     def _linger(self) -> ActorCoroutine:
         """Read until every client has closed its side, or the time is up.
 
-        Closing a socket with unread bytes, by exiting too, resets the connection and drops the last message.
+        Sessions of the channels frontend refuse channels until the deadline, see `channels.session`. Closing
+        a socket with unread bytes, by exiting too, resets the connection and drops the last message.
         """
-        close_at = max(self.deadline, self.loop.now()) + LINGER_NS - EXIT_RESERVE_NS
+        end_sessions_at = max(self.deadline, self.loop.now())
+        close_at = end_sessions_at + LINGER_NS - EXIT_RESERVE_NS
+        has_ended_sessions = False
         while True:
+            if not has_ended_sessions and self.loop.now() >= end_sessions_at:
+                has_ended_sessions = True
+                self.clients.end_sessions()
             self.set_timer(STEP_INTERVAL_NS, STEP_TIMER)
             yield
             if not self.clients.open_streams() or self.loop.now() >= close_at:
--- a/linnetshift/lifecycle/shutdown_coordinator.py
+++ b/linnetshift/lifecycle/shutdown_coordinator.py
@@ -79,3 +79,7 @@
     def notify_idle_clients(self) -> None:
         """Have the clients without a request migrate too."""
         self.frontend.notify_idle_clients()
+
+    def end_sessions(self) -> None:
+        """End the sessions of the channels frontend that have no channels."""
+        self.channels.end_sessions()
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -95,6 +95,9 @@
     def notify_idle_clients(self) -> None:
         self.record("notify")
 
+    def end_sessions(self) -> None:
+        self.record("end sessions")
+
 
 def numbered_requests(count: int) -> list[Any]:
     return [SimpleNamespace(id=number) for number in range(count)]
@@ -137,9 +140,18 @@
     recorder = started_shutdown(0, unresponsive=1, streams=2)
     recorder.loop.run()
     assert recorder.times_ms("notify") == [2350]
+    assert recorder.times_ms("end sessions") == [2350]
     assert recorder.times_ms("drain") == recorder.times_ms("close") == [2600, 2600]
 
 
+def test_sessions_that_stay_open_may_open_channels_until_the_deadline() -> None:
+    """Guards against review/10: a session that rested was ended before its last CHANNEL_OPEN was answered."""
+    recorder = started_shutdown(0, streams=1)
+    recorder.loop.run()
+    assert recorder.times_ms("notify") == [600]
+    assert recorder.times_ms("end sessions") == [2350]
+
+
 def test_replaced_process_migrates_from_the_start_until_its_later_deadline() -> None:
     recorder = started_shutdown(100, is_replaced=True, unresponsive=1)
     recorder.loop.run()
