Hot restart: an unreadable line of the other process costs only that line

Cause: a line that could not be read, or over 1 MiB, ended the connection between two live processes, and a message that could not be encoded was a fault of the actor. The old process then took its successor for ended.

Change: such a line is logged and left out, and so is a message that cannot be encoded. Only a peer that is not known to serve (no successor that listens at the takeover socket) is still disconnected: it may be no process of this proxy.

--- a/linnetshift/lifecycle/hot_restart.py
+++ b/linnetshift/lifecycle/hot_restart.py
@@ -157,6 +157,21 @@
                 self.listen_for_successor()
                 self.operations.resume_accepting()
 
+    def is_known_to_serve(self, peer_process: PeerProcess) -> bool:
+        """Whether the process has handed its state over, or has replaced this one.
+
+        A successor that serves listens at the takeover socket; one that only says so proves nothing.
+        """
+        if peer_process.is_predecessor:
+            return True
+        return peer_process is self.successor and self._is_takeover_socket_replaced()
+
+    def _is_takeover_socket_replaced(self) -> bool:
+        """Whether another process has bound the takeover socket since this one did."""
+        if self.socket_path is None or self.takeover_listener is None:
+            return False
+        return self.socket_path.inode() not in (0, self.takeover_listener.inode)
+
     def _is_replaced_by_another(self, successor: PeerProcess) -> bool:
         """Whether a process that replaced the successor listens at the takeover socket."""
         if self.socket_path is None:
--- a/linnetshift/lifecycle/peer_process.py
+++ b/linnetshift/lifecycle/peer_process.py
@@ -59,6 +59,9 @@
     def handle_peer_disconnected(self, peer_process: PeerProcess, /) -> None:
         """Continue without the process."""
 
+    def is_known_to_serve(self, peer_process: PeerProcess, /) -> bool:
+        """Whether the process has handed its state over, or has replaced this one."""
+
     def apply_administrative_drain(
         self,
         endpoint: bytes,
@@ -88,8 +91,9 @@
         self.process_id = peer_process_id(sock)
         self.stream = Stream(loop, sock, self.post_io)
         self.received = bytearray(predecessor.trailing_data if predecessor is not None else b"")
+        self.is_skipping_line = False  # discards the rest of a line that is too long
         self.has_exchanged_state = self.is_predecessor
-        self.has_ended = False  # the peer closed, violated the protocol or hangs
+        self.has_ended = False  # the peer closed, sent no hello or hangs
         self.has_exited = False  # the peer closed the connection, as its exit does
         self.drain_numbers = count()
         self.unconfirmed_drains: dict[int, Callable[[], None]] = {}
@@ -100,8 +104,8 @@
         self.set_timer(HELLO_TIMEOUT_NS, PeerTimer.HELLO)
         self.set_timer(HEARTBEAT_INTERVAL_NS, PeerTimer.HEARTBEAT)
         while not self.has_ended and not self.stream.broken:
-            are_lines_readable = self._process_lines()
-            if not are_lines_readable:
+            self._process_lines()
+            if self.has_ended:
                 break
             event = yield
             self._process_event(event)
@@ -113,8 +117,16 @@
         self._disconnect()
 
     def send(self, message: SentMessage) -> None:
-        """Send one message; a peer that does not read is disconnected, see `StallDetector`."""
-        self.stream.send(encode_message(message))
+        """Send one message; a peer that does not read is disconnected, see `StallDetector`.
+
+        A message that can't be encoded is logged and left out.
+        """
+        try:
+            line = encode_message(message)
+        except ValueError as error:
+            log.info("peer-message-unsendable", error=log.error_text(error))
+            return
+        self.stream.send(line)
         self.update_stall_timer()
 
     def send_heartbeat(self) -> None:
@@ -157,19 +169,35 @@
         end = self.stream.fill()
         self.received += self.stream.rest()
         self.has_exited = end is not None
-        self.has_ended = end is not None or len(self.received) > MAX_MESSAGE_BYTES
-
-    def _process_lines(self) -> bool:
-        """Process each complete line; return False where one is unreadable, as of another version."""
-        while (size := self.received.find(b"\n") + 1) > 0:
-            try:
-                message = decode_message(self.received[:size])
-            except MessageError as error:
-                log.info("peer-message-unreadable", error=str(error))
-                return False
+        self.has_ended = end is not None
+
+    def _process_lines(self) -> None:
+        """Process each complete line; one that is unreadable, as of another version, costs only itself."""
+        while not self.has_ended and (size := self.received.find(b"\n") + 1) > 0:
+            line = self.received[:size]
             del self.received[:size]
-            self._process_message(message)
-        return True
+            if self.is_skipping_line:
+                self.is_skipping_line = False
+            else:
+                self._process_line(line)
+        if len(self.received) > MAX_MESSAGE_BYTES:
+            if not self.is_skipping_line:
+                self._report_unreadable(f"longer than {MAX_MESSAGE_BYTES} bytes")
+            self.is_skipping_line = True
+            self.received.clear()
+
+    def _process_line(self, line: bytearray) -> None:
+        try:
+            message = decode_message(line)
+        except MessageError as error:
+            self._report_unreadable(str(error))
+            return
+        self._process_message(message)
+
+    def _report_unreadable(self, error: str) -> None:
+        """Log it; a peer that is not known to serve may be no process of this proxy, and is disconnected."""
+        log.info("peer-message-unreadable", error=error)
+        self.has_ended = not self.coordinator.is_known_to_serve(self)
 
     def _process_message(self, message: ReceivedMessage) -> None:
         match message:
