Hot restart: two live processes whose connection ends connect again

The old process accepted again beside its successor, and a drain that was not confirmed counted as applied by both.

Change: a replaced process accepts again only if its successor has exited (its process descriptor tells), no longer listens at the takeover socket, or takes a connection there and does not answer for 2 s. Otherwise it connects again with `rejoin`; both send the drains that the other has missed, and report what they hold. A drain is confirmed once the other process has applied it or has exited; before that the operator's call gets 504, as for one that hangs. A process that serves and finds the takeover socket taken back by its live predecessor (of an older version, or while it hung) replaces it again by the first version's messages.

--- a/linnetshift/lifecycle/peer_process.py
+++ b/linnetshift/lifecycle/peer_process.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from functools import partial
 from itertools import count
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from linnetshift.event_loop.actor import ActorCoroutine, Io
 from linnetshift.event_loop.connection_limits import ConnectionTimer, StallDetector
@@ -40,6 +40,27 @@
 MAX_UNCONFIRMED_DRAINS = 256
 
 
+# How long a process that is asked to exchange messages again may take to answer. It exceeds HELLO_TIMEOUT_NS,
+# after which an older version closes a connection without a hello: that shows that it lives.
+REJOIN_TIMEOUT_NS = 2 * S
+
+
+class UnconfirmedDrain(NamedTuple):
+    """An administrative drain that the other process has not confirmed."""
+
+    endpoint: bytes
+    is_drained: bool
+    on_applied: Callable[[], None]
+
+
+class Purpose(Enum):
+    """What a connection between two processes is for."""
+
+    REPLACE = "replace"  # the first connection: one process replaces the other
+    REJOIN = "rejoin"  # opened by a replaced process that has lost the first one
+    REPLACE_AGAIN = "replace again"  # opened by a process that serves, as its predecessor accepts again
+
+
 class PeerTimer(Enum):
     """The timers of a peer process besides that of `StallDetector`."""
 
@@ -59,6 +80,15 @@
     def handle_peer_disconnected(self, peer_process: PeerProcess, /) -> None:
         """Continue without the process."""
 
+    def handle_rejoin(self, peer_process: PeerProcess, /) -> bool:
+        """Exchange messages with a predecessor again; returns False if it is none."""
+
+    def handle_rejoined(self, peer_process: PeerProcess, /) -> None:
+        """Exchange messages with the successor again."""
+
+    def handle_replacing_again(self, peer_process: PeerProcess, /) -> None:
+        """Note that the predecessor, which accepted again, was told to stop."""
+
     def is_known_to_serve(self, peer_process: PeerProcess, /) -> bool:
         """Whether the process has handed its state over, or has replaced this one."""
 
@@ -82,26 +112,39 @@
         coordinator: RestartCoordinator,
         sock: socket.socket,
         predecessor: PredecessorState | None = None,
+        purpose: Purpose = Purpose.REPLACE,
     ) -> None:
-        """`predecessor` is the state already received over `sock`; None where the peer is a successor."""
+        """`predecessor` is the state already received over `sock`; None where the peer is a successor.
+
+        With a `purpose` other than REPLACE this process has opened the connection.
+        """
         super().__init__(loop)
         self.operations = operations
         self.coordinator = coordinator
-        self.is_predecessor = predecessor is not None
+        self.is_predecessor = predecessor is not None or purpose is Purpose.REPLACE_AGAIN
+        self.purpose = purpose
         self.process_id = peer_process_id(sock)
         self.stream = Stream(loop, sock, self.post_io)
         self.received = bytearray(predecessor.trailing_data if predecessor is not None else b"")
         self.is_skipping_line = False  # discards the rest of a line that is too long
-        self.has_exchanged_state = self.is_predecessor
+        self.has_exchanged_state = predecessor is not None
         self.has_ended = False  # the peer closed, sent no hello or hangs
         self.has_exited = False  # the peer closed the connection, as its exit does
         self.drain_numbers = count()
-        self.unconfirmed_drains: dict[int, Callable[[], None]] = {}
+        self.unconfirmed_drains: dict[int, UnconfirmedDrain] = {}
 
     def run(self) -> ActorCoroutine:
         """Process events until the connection ends."""
         self.stream.arm()
-        self.set_timer(HELLO_TIMEOUT_NS, PeerTimer.HELLO)
+        match self.purpose:
+            case Purpose.REPLACE:
+                self.set_timer(HELLO_TIMEOUT_NS, PeerTimer.HELLO)
+            case Purpose.REJOIN:
+                self.set_timer(REJOIN_TIMEOUT_NS, PeerTimer.HELLO)
+                self.send(PlainMessage.REJOIN)
+            case Purpose.REPLACE_AGAIN:
+                self.set_timer(REJOIN_TIMEOUT_NS, PeerTimer.HELLO)
+                self.send(PlainMessage.HELLO)
         self.set_timer(HEARTBEAT_INTERVAL_NS, PeerTimer.HEARTBEAT)
         while not self.has_ended and not self.stream.broken:
             self._process_lines()
@@ -136,7 +179,7 @@
     def apply_administrative_drain(
         self, endpoint: bytes, is_drained: bool, on_applied: Callable[[], None]
     ) -> None:
-        """Have the other process apply the drain; `on_applied` is called once it has, or has disconnected."""
+        """Have the other process apply the drain; `on_applied` is called once it has, or has exited."""
         is_connected = self.coroutine is not None and self.has_exchanged_state
         if not is_connected or len(self.unconfirmed_drains) >= MAX_UNCONFIRMED_DRAINS:
             # Nothing to wait for: a state requested later, by it or by the successor of one that hangs,
@@ -144,9 +187,20 @@
             on_applied()
             return
         number = next(self.drain_numbers)
-        self.unconfirmed_drains[number] = on_applied
+        self.unconfirmed_drains[number] = UnconfirmedDrain(endpoint, is_drained, on_applied)
         self.send(AdministrativeDrain(endpoint, is_drained, number))
 
+    def take_unconfirmed_drains(self) -> list[UnconfirmedDrain]:
+        """Return the drains that the peer has not confirmed, and forget them."""
+        unconfirmed = list(self.unconfirmed_drains.values())
+        self.unconfirmed_drains = {}
+        return unconfirmed
+
+    def begin_exchange(self) -> None:
+        """Exchange messages from now on, beginning with this process's resources."""
+        self.has_exchanged_state = True
+        self.send_heartbeat()
+
     def _process_event(self, event: Any) -> None:
         match event:
             case Io(mask):
@@ -200,10 +254,11 @@
         self.has_ended = not self.coordinator.is_known_to_serve(self)
 
     def _process_message(self, message: ReceivedMessage) -> None:
+        if not self.has_exchanged_state:
+            self._process_first_message(message)
+            return
         match message:
-            case PlainMessage.HELLO if not self.has_exchanged_state:
-                self._send_state()
-            case PlainMessage.SERVING if self.has_exchanged_state:
+            case PlainMessage.SERVING:
                 self.coordinator.handle_successor_serving(self)
                 self.send(PlainMessage.STOPPED)
             case PlainMessage.STOPPED if self.is_predecessor:
@@ -212,12 +267,26 @@
                 confirm = partial(self.send, AdministrativeDrainConfirmed(number))
                 self.coordinator.apply_administrative_drain(endpoint, is_drained, confirm, self)
             case AdministrativeDrainConfirmed(number):
-                on_applied = self.unconfirmed_drains.pop(number, None)
-                if on_applied is not None:
-                    on_applied()
+                drain = self.unconfirmed_drains.pop(number, None)
+                if drain is not None:
+                    drain.on_applied()
             case Heartbeat(peer_resources):
                 self.operations.update_peer_resources(peer_resources)
 
+    def _process_first_message(self, message: ReceivedMessage) -> None:
+        """Handle a message that precedes the exchange; others are ignored until then."""
+        match self.purpose, message:
+            case Purpose.REPLACE, PlainMessage.HELLO:
+                self._send_state()
+            case Purpose.REPLACE, PlainMessage.REJOIN:
+                self.has_ended = not self.coordinator.handle_rejoin(self)
+            case Purpose.REJOIN, PlainMessage.REJOINED:
+                self.coordinator.handle_rejoined(self)
+            case Purpose.REPLACE_AGAIN, _:  # its state, which is not used: this process knows more
+                self.has_exchanged_state = True
+                self.send(PlainMessage.SERVING)
+                self.coordinator.handle_replacing_again(self)
+
     def _send_state(self) -> None:
         state = self.operations.export_state()
         line = encode_message(state)
@@ -230,8 +299,4 @@
     def _disconnect(self) -> None:
         self.has_exited = self.has_exited or self.stream.broken
         self.stream.close()
-        unconfirmed = list(self.unconfirmed_drains.values())
-        self.unconfirmed_drains = {}
-        for on_applied in unconfirmed:  # a process that has exited sends no more requests to endpoints
-            on_applied()
         self.coordinator.handle_peer_disconnected(self)
--- a/linnetshift/lifecycle/takeover_messages.py
+++ b/linnetshift/lifecycle/takeover_messages.py
@@ -118,6 +118,8 @@
     HELLO = "hello"  # the new process requests the state of the one that it replaces
     SERVING = "serving"  # the new process accepts connections; the old one is to stop accepting
     STOPPED = "stopped"  # the old process no longer accepts connections
+    REJOIN = "rejoin"  # the old process, which has been replaced, connects again
+    REJOINED = "rejoined"  # the answer to it
 
     def to_json(self) -> dict[str, object]:
         """Return the object to send."""
--- a/linnetshift/lifecycle/takeover_socket.py
+++ b/linnetshift/lifecycle/takeover_socket.py
@@ -69,15 +69,16 @@
         except OSError:
             return 0
 
-    def listening_process(self) -> int:
-        """Return the id of the process that listens at the path, 0 where none does or its queue is full."""
-        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
-            sock.setblocking(False)
-            try:
-                sock.connect(self.path())
-                return peer_process_id(sock)
-            except OSError:
-                return 0
+    def connect(self) -> socket.socket | None:
+        """Return a connection to the process that listens here; None if none does or its queue is full."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            sock.connect(self.path())
+        except OSError:
+            sock.close()
+            return None
+        return sock
 
 
 def peer_process_id(sock: socket.socket) -> int:
