Clients: the turn of one connection is bounded, on both frontends

What callers saw: while one session sent small requests at full speed, another client waited 0.131 s for its answer (median); beside 8 such sessions 1.187 s.

Cause: each turn handled the whole read buffer, up to 35 KB of packets of 16 bytes or 8 KB of PING lines.

Change: a session handles 16 packets in a turn, a CHANNEL_OPEN counting as 8, and a line client is answered 16 queries; the rest waits for the next turn of the loop, and nothing is read meanwhile. A request's deadline still counts from when its packet was read, and a client whose input waits is not taken for one that does not read its answers.

--- a/linnetshift/frontends/channels/channel.py
+++ b/linnetshift/frontends/channels/channel.py
@@ -94,8 +94,9 @@
         A client that does not read what it was sent is not read from, so its end could go undetected: it
         counts as gone.
         """
-        stream = self.session.stream
-        return self.sender_channel in self.session.channels and stream.reading and stream.is_present
+        session = self.session
+        is_open = self.sender_channel in session.channels
+        return is_open and session.is_client_reading and session.stream.is_present
 
     def handle_established(self, receipt: memoryview) -> None:
         """Confirm the channel, with the receipt of the endpoint that serves the request."""
--- a/linnetshift/frontends/channels/channel_open.py
+++ b/linnetshift/frontends/channels/channel_open.py
@@ -97,6 +97,7 @@
 
 def handle_channel_open(session: Session, payload: PayloadReader) -> None:
     """Submit the request to the broker, or answer with CHANNEL_OPEN_FAILURE."""
+    session.charge_open()
     channel_type = payload.text()
     sender_channel = payload.uint32()
     initial_window = payload.uint32()
@@ -157,6 +158,6 @@
         group=open_request.group,
         flags=open_request.routing_flags,
         load_hint=0,
-        deadline=session.loop.ready_since + wait_ns - ANSWER_MARGIN_NS,
+        deadline=session.received_at + wait_ns - ANSWER_MARGIN_NS,
         encode_request_line=open_request.request_line_encoder(),
     )
--- a/linnetshift/frontends/channels/session.py
+++ b/linnetshift/frontends/channels/session.py
@@ -59,8 +59,12 @@
 MAX_UNANSWERED_KEEPALIVES = 3
 # How long a session without channels refuses channels after this proxy has begun to drain.
 DRAINED_SESSION_TIMEOUT_NS = 5 * S
+# Packets that a session handles before others have their turn; opening a channel costs as much as several.
+MAX_PACKETS_PER_TURN = 16
+PACKETS_PER_OPEN = 8
 # How often a session that ends reads what has arrived; a client that sends at full speed must not delay it.
 MAX_FINAL_READS = 16
+MAX_PACKETS_PER_FINAL_READ = MAX_PACKET_BYTES
 # Reading from a client pauses while at least this much waits to be sent to it.
 MAX_UNSENT_BYTES = 65_536
 SHUT_DOWN_MESSAGE = encode_disconnect(DisconnectReason.BY_APPLICATION, "this proxy is leaving")
@@ -73,6 +77,7 @@
     PACKET = "packet"
     KEEPALIVE = "keepalive"
     DRAIN = "drain"
+    TURN = "turn"
 
 
 class DrainStarted(NamedTuple):
@@ -99,6 +104,9 @@
         self.has_concurrent_channels = False  # now or earlier: their opens don't wait for each other
         self.is_evicted = False
         self.is_processing = False  # reads or handles input now
+        self.received_at = self.loop.now()  # when the loop saw the input that was read last
+        self.packets_left_in_turn = MAX_PACKETS_PER_TURN
+        self.turn_timer: Timer | None = None  # armed while packets wait for this session's next turn
         self.drain_timer: Timer | None = None
         self.is_drain_over = False  # ends as soon as it has no channels
         self.write_queue: deque[Channel] = deque()
@@ -193,12 +201,15 @@
         self.set_timer(KEEPALIVE_INTERVAL_NS, SessionTimer.KEEPALIVE)
         if self.frontend.is_draining:
             self._start_drain()
-        self._read_packets()
+        self._take_turn()
         while self.end_reason is None:
             match (yield):
                 case Io(mask):
                     self._handle_io(mask)
-                    self._read_packets()
+                    self._take_turn()
+                case Timeout(tag=SessionTimer.TURN):
+                    self.turn_timer = None
+                    self._take_turn()
                 case DrainStarted():
                     self._start_drain()
                 case DrainOver() | Timeout(tag=SessionTimer.DRAIN):
@@ -228,6 +239,7 @@
         if mask & ~select.EPOLLOUT:
             buffered_bytes = self.stream.stop - self.stream.start
             end = self.stream.fill()
+            self.received_at = self.loop.ready_since
             if self.stream.stop > buffered_bytes:
                 self.frontend.connection_limiter.handle_partial_request(self)
             self.unanswered_keepalives = 0
@@ -235,7 +247,7 @@
                 self.end_reason = Reason.CLIENT_RESET if end is End.RESET else Reason.CLIENT_LEFT
         if self.stream.broken:
             self.end_reason = Reason.CLIENT_RESET
-        self.stream.set_reading(len(self.stream.unsent) < MAX_UNSENT_BYTES)
+        self._update_reading()
 
     def _send_keepalive(self) -> None:
         """Send a request that any peer answers, if only with a failure; a half-open connection does not."""
@@ -280,9 +292,11 @@
         """Read and answer what has arrived, as the session ends."""
         try:
             for _ in range(MAX_FINAL_READS):
+                self.packets_left_in_turn = MAX_PACKETS_PER_FINAL_READ
+                self._read_packets()
                 if self.stream.has_nothing_unread or self.stream.fill() is not None:
                     break
-                self._read_packets()
+            self._read_packets()
         except ProtocolError as error:
             log.info("packet-malformed", peer=self.peer[0], error=log.error_text(error))
 
@@ -341,6 +355,32 @@
 
     # ---- reading ----------------------------------------------------------------------------
 
+    def _take_turn(self) -> None:
+        """Handle some of the packets that have been read; others and further input wait for the next turn.
+
+        Otherwise clients that send small packets at full speed would hold up all others for a buffer each.
+        """
+        if self.turn_timer is not None:
+            return
+        self.packets_left_in_turn = MAX_PACKETS_PER_TURN
+        self._read_packets()
+        if self.packets_left_in_turn <= 0 and self.end_reason is None:
+            self.turn_timer = self.set_timer(0, SessionTimer.TURN)
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read while the client reads its answers and no packet waits for this session's turn."""
+        self.stream.set_reading(self.is_client_reading and self.turn_timer is None)
+
+    @property
+    def is_client_reading(self) -> bool:
+        """Whether little waits to be sent to the client."""
+        return len(self.stream.unsent) < MAX_UNSENT_BYTES
+
+    def charge_open(self) -> None:
+        """Count a CHANNEL_OPEN as several packets of this turn."""
+        self.packets_left_in_turn -= PACKETS_PER_OPEN - 1
+
     def _read_packets(self) -> None:
         self.is_processing = True
         try:
@@ -349,8 +389,13 @@
             self.is_processing = False
 
     def _handle_packets(self) -> None:
-        while self.end_reason is None and (payload := read_packet(self.stream)) is not None:
+        while (
+            self.end_reason is None
+            and self.packets_left_in_turn > 0
+            and (payload := read_packet(self.stream)) is not None
+        ):
             self.packets_received += 1
+            self.packets_left_in_turn -= 1
             if self.packet_timer is not None:
                 self.packet_timer.cancel()
                 self.packet_timer = None
--- a/linnetshift/frontends/line_protocol/request_reader.py
+++ b/linnetshift/frontends/line_protocol/request_reader.py
@@ -9,7 +9,7 @@
 from linnetshift.event_loop.connection_limits import REQUEST_LINE_TIMEOUT_NS, ConnectionTimer
 from linnetshift.event_loop.outbound_connection import Steps, Stop
 from linnetshift.event_loop.stream import End, LineTooLongError
-from linnetshift.event_loop.timers import Timeout
+from linnetshift.event_loop.timers import Timeout, Timer
 from linnetshift.frontends.line_protocol import protocol
 from linnetshift.frontends.line_protocol.messages import ShutdownNotice
 from linnetshift.frontends.line_protocol.request_line import (
@@ -23,6 +23,14 @@
     from linnetshift.frontends.line_protocol.client_connection import ClientConnection
 
 
+# Queries that a connection is answered before others have their turn.
+MAX_QUERIES_PER_TURN = 16
+
+
+class NextTurn:
+    """Timer tag: the connection's next turn to be answered."""
+
+
 class RequestReader:
     """Answers queries on one connection until its request line is received and submitted to the broker.
 
@@ -36,6 +44,7 @@
         self.frontend = connection.frontend
         self.received_at = connection.loop.ready_since  # when the loop saw the last input, in ns of its clock
         self.was_queried = False
+        self.turn_timer: Timer | None = None  # armed while queries wait for the next turn
         self.client_end: End | None = None  # how the client ended its side
 
     def run(self) -> Steps:
@@ -53,15 +62,21 @@
                 timer.cancel()
                 return None
             # Otherwise answers to a client that sends queries without reading would exhaust memory.
-            self.stream.set_reading(not self.stream.is_congested)
-            if self.client_end is not None:
+            self.stream.set_reading(not self.stream.is_congested and self.turn_timer is None)
+            if self.client_end is not None and self.turn_timer is None:
                 return Reason.PROBED if self.was_queried else Reason.EMPTY
             reason = self._handle((yield))
             if reason is not None:
                 return reason
 
     def _process_lines(self) -> bool:
-        """Answer queries while the client reads the answers; return whether a request was submitted."""
+        """Answer queries while the client reads the answers; return whether a request was submitted.
+
+        After MAX_QUERIES_PER_TURN the others wait for the next turn.
+        """
+        if self.turn_timer is not None:
+            return False
+        answered = 0
         while not self.stream.is_congested and (line := self.stream.line()) is not None:
             prefix = bytes(line[: protocol.QUERY_PREFIX_BYTES])
             if prefix.rstrip() not in protocol.QUERIES:
@@ -71,6 +86,10 @@
             self.stream.send(self.frontend.answer_query(prefix))
             self.frontend.connection_limiter.handle_answered(self.connection)
             self.was_queried = True
+            answered += 1
+            if answered == MAX_QUERIES_PER_TURN:
+                self.turn_timer = self.connection.set_timer(0, NextTurn)
+                break
         return False
 
     def _handle(self, message: object) -> Reason | None:
@@ -78,6 +97,8 @@
         match message:
             case Io(mask):
                 self._handle_io(mask)
+            case Timeout(tag=tag) if tag is NextTurn:
+                self.turn_timer = None
             case Stop():
                 return Reason.EVICTED
             case ShutdownNotice():
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,99 @@
+"""Turns of one connection: a peer that sends at full speed costs others a short turn, not a whole buffer."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from connections import ssh_packet, ssh_string
+
+from linnetshift.event_loop.connection_limits import ConnectionLimiter
+from linnetshift.event_loop.loop import Loop
+from linnetshift.frontends.channels.session import MAX_PACKETS_PER_TURN, PACKETS_PER_OPEN, Session
+from linnetshift.frontends.line_protocol.client_connection import ClientConnection
+from linnetshift.frontends.line_protocol.request_reader import MAX_QUERIES_PER_TURN
+
+SENT = 200
+GLOBAL_REQUEST = ssh_packet(b"\x50" + ssh_string(b"x") + b"\1")
+OPEN_OF_UNKNOWN_TYPE = ssh_packet(b"\x5a" + ssh_string(b"x") + bytes(12))
+
+
+class Answers:
+    """One connection of a frontend without a broker; counts the answers of each turn of the loop."""
+
+    def __init__(self, connection_type: type[Session] | type[ClientConnection]) -> None:
+        self.loop = Loop()
+        frontend: Any = SimpleNamespace(
+            loop=self.loop,
+            broker=None,
+            names=None,
+            sessions=set(),
+            clients=set(),
+            is_draining=False,
+            connection_limiter=ConnectionLimiter(self.loop, 0),
+            answer_query=lambda _: b"PONG\r\n",
+        )
+        proxy_end, self.client_end = socket.socketpair()
+        self.connection = connection_type(frontend, proxy_end, ("127.0.0.1", 1))
+        self.connection.start(self.connection.run())
+
+    def turn(self) -> bytes:
+        """Run one turn; returns what was answered in it."""
+        self.loop.call_later(0, lambda: None)  # so that the turn does not wait
+        self.loop.run_once()
+        try:
+            return self.client_end.recv(1 << 20, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return b""
+
+
+def session_with_input(sent: bytes) -> Answers:
+    answers = Answers(Session)
+    answers.client_end.send(b"SSH-2.0-terminal\r\n")
+    answers.turn()
+    answers.turn()
+    answers.client_end.sendall(sent * SENT)
+    return answers
+
+
+def line_client_with_input(sent: bytes) -> Answers:
+    answers = Answers(ClientConnection)
+    answers.client_end.sendall(sent * SENT)
+    return answers
+
+
+@pytest.mark.parametrize(
+    ("connect", "sent", "answer_bytes", "most"),
+    [
+        (session_with_input, GLOBAL_REQUEST, len(ssh_packet(b"\x52")), MAX_PACKETS_PER_TURN),
+        (line_client_with_input, b"PING\r\n", len(b"PONG\r\n"), MAX_QUERIES_PER_TURN),
+    ],
+    ids=["channels", "line protocol"],
+)
+def test_one_turn_answers_a_bounded_number_of_requests(
+    connect: Callable[[bytes], Answers], sent: bytes, answer_bytes: int, most: int
+) -> None:
+    """Guards against clients that wait while another one's whole buffer of requests is answered."""
+    answers = connect(sent)
+    answered = [len(answers.turn()) // answer_bytes for _ in range(3 * SENT)]
+    assert sum(answered) == SENT
+    assert max(answered) <= most
+
+
+def test_one_turn_opens_few_channels() -> None:
+    """Guards against other clients that wait while one session opens a buffer full of channels."""
+    answers = session_with_input(OPEN_OF_UNKNOWN_TYPE)
+    refused = [answers.turn().count(b"invocation@linnetshift") for _ in range(3 * SENT)]
+    assert sum(refused) == SENT
+    assert max(refused) <= MAX_PACKETS_PER_TURN // PACKETS_PER_OPEN
+
+
+def test_queries_that_wait_for_a_turn_are_answered_after_the_client_ended_its_side() -> None:
+    """Guards against queries that are read and not answered, as their client has sent all that it wants."""
+    answers = line_client_with_input(b"PING\r\n")
+    answers.client_end.shutdown(socket.SHUT_WR)
+    received = b"".join(answers.turn() for _ in range(3 * SENT))
+    assert received == b"PONG\r\n" * SENT
