--- a/linnetshift/frontends/line_protocol/messages.py
+++ b/linnetshift/frontends/line_protocol/messages.py
@@ -39,3 +39,7 @@
 
 class ShutdownNotice(NamedTuple):
     """This proxy is shutting down and accepts no more requests."""
+
+
+class NextTurn:
+    """Timer tag: the connection's next turn, for input that was read and left over."""
--- a/linnetshift/frontends/line_protocol/request_reader.py
+++ b/linnetshift/frontends/line_protocol/request_reader.py
@@ -11,7 +11,7 @@
 from linnetshift.event_loop.stream import End, LineTooLongError
 from linnetshift.event_loop.timers import Timeout, Timer
 from linnetshift.frontends.line_protocol import protocol
-from linnetshift.frontends.line_protocol.messages import ShutdownNotice
+from linnetshift.frontends.line_protocol.messages import NextTurn, ShutdownNotice
 from linnetshift.frontends.line_protocol.request_line import (
     LINE_TOO_LONG,
     RequestLineError,
@@ -27,10 +27,6 @@
 MAX_QUERIES_PER_TURN = 16
 
 
-class NextTurn:
-    """Timer tag: the connection's next turn to be answered."""
-
-
 class RequestReader:
     """Answers queries on one connection until its request line is received and submitted to the broker.
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Callable
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from connections import ssh_packet, ssh_string
+from proxy_harness import started_proxy
 
 from linnetshift.event_loop.connection_limits import ConnectionLimiter
 from linnetshift.event_loop.loop import Loop
 from linnetshift.frontends.channels.session import MAX_PACKETS_PER_TURN, PACKETS_PER_OPEN, Session
 from linnetshift.frontends.line_protocol.client_connection import ClientConnection
+from linnetshift.frontends.line_protocol.message_relay import MAX_LINES_PER_TURN
 from linnetshift.frontends.line_protocol.request_reader import MAX_QUERIES_PER_TURN
 
 SENT = 200
@@ -97,3 +101,32 @@
     answers.client_end.shutdown(socket.SHUT_WR)
     received = b"".join(answers.turn() for _ in range(3 * SENT))
     assert received == b"PONG\r\n" * SENT
+
+
+def test_overlong_line_that_comes_with_the_answer_ends_the_connection(tmp_path: Path) -> None:
+    """Guards against one client that kept the loop busy, as its connection stayed open and readable."""
+    with started_proxy(tmp_path) as running:
+        client = running.client(b"OPEN 1 2 c=feed,t=acme,d=2000,x=%b\r\n" % (b"y" * 1200))
+        endpoint = running.endpoints[0].accept()
+        endpoint.line()
+        with running.stopped():
+            endpoint.send(b"UP r1\r\n")
+            time.sleep(0.05)
+            client.send(b"z" * 5000)
+        running.logged("side=client reason=bad-line")
+        before_s = running.cpu_s()
+        time.sleep(0.5)
+        assert running.cpu_s() - before_s < 0.25
+
+
+def test_one_turn_relays_a_bounded_number_of_lines(tmp_path: Path) -> None:
+    """Guards against lines that are lost, or left unsent, once they wait for the next turn."""
+    with started_proxy(tmp_path) as running:
+        client, endpoint = running.establish()
+        lines = b"".join(b"%d\r\n" % number for number in range(20 * MAX_LINES_PER_TURN))
+        client.send(lines)
+        assert endpoint.read_exactly(len(lines)) == lines
+        client.send(lines)
+        client.sock.shutdown(socket.SHUT_WR)
+        assert endpoint.read_exactly(len(lines)) == lines
+        assert endpoint.read_exactly(1) == b""
