Rig: a port is not given out again once its reservation has been released

Cause: n2's log says `cannot listen: Address already in use`; in the run's files n2 and n24 have port 17232. Change: none of the last 4,096 ports is returned again by the same process, reserved or not.

--- a/rig/free_port.py
+++ b/rig/free_port.py
@@ -11,21 +11,28 @@
 """Range of the ports: below the ephemeral ports, one of which an outgoing connection could take meanwhile."""
 
 MAX_RESERVATIONS = 256
-"""Ports that this process reserves at a time; more than a test or rig run uses."""
+"""Ports that this process reserves at a time; each takes a descriptor."""
+
+MAX_RECENT_PORTS = 4096
+"""Ports that this process does not return again; more than a test or rig run uses."""
 
 _reservations: deque[socket.socket] = deque()
+_recent_ports: deque[int] = deque(maxlen=MAX_RECENT_PORTS)
 
 
 def free_port() -> int:
     """Reserve a port on which nothing listens, for a program that this process starts.
 
     No other call returns it while it is reserved, in this process or another. Beyond `MAX_RESERVATIONS` the
-    oldest reservation is released.
+    oldest reservation is released; this process still returns none of its last `MAX_RECENT_PORTS` ports.
     """
     while True:
         port = random.SystemRandom().randrange(*PORTS)
+        if port in _recent_ports:
+            continue
         with suppress(OSError):
             _reservations.append(_reserve(port))
+            _recent_ports.append(port)
             if len(_reservations) > MAX_RESERVATIONS:
                 _reservations.popleft().close()
             return port
--- a/tests/test_free_port.py
+++ b/tests/test_free_port.py
@@ -25,6 +25,15 @@
     assert free_port() not in (first, second)
 
 
+def test_port_whose_reservation_was_released_is_not_returned_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against rig runs of over 256 ports, in which a process could not listen at its port."""
+    first = free_port()
+    for _ in range(MAX_RESERVATIONS):
+        free_port()
+    draw_first(monkeypatch, first)
+    assert free_port() != first
+
+
 def test_oldest_reservation_is_released_beyond_the_maximum() -> None:
     first = free_port()
     for _ in range(MAX_RESERVATIONS):
