Hot restart test: the first process may end, by rule, while the fourth one starts

The test's wait, not the product, was at fault. Change: it looks right after the second process has ended, too; at the end, after SIGTERM, 0 is allowed beside a process that runs, and any other status, or an end without SIGTERM, still fails. Measured: test_hot_restart.py passes.

--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -129,10 +129,12 @@
         second.process.kill()
         first.logged("event=successor-gone")
         assert first.call("GET /ops/readiness") == 503
+        assert first.process.poll() is None
         fourth = stack.enter_context(successor_of(third))
         fourth.wait_until_ready()
         assert third.call("GET /ops/readiness") == 503
-        assert first.process.poll() is None
+        # After SIGTERM it shuts down within 2 s, which a start may take on a slow machine.
+        assert first.process.poll() in ({None, 0} if is_terminating else {None})
         assert connection
 
 
