--- a/linnetshift/__main__.py
+++ b/linnetshift/__main__.py
@@ -8,8 +8,9 @@
 import time
 
 from linnetshift.config.errors import ConfigurationError
-from linnetshift.config.loader import read_files
+from linnetshift.config.loader import load_broker_file, load_proxy_file
 from linnetshift.config.platform_listener import platform_listener
+from linnetshift.lifecycle.broker_file_state import import_broker_file
 from linnetshift.lifecycle.takeover_socket import TakeoverSocketPath, request_takeover
 from linnetshift.observability import log
 from linnetshift.proxy import Proxy
@@ -41,14 +42,17 @@
 def start_proxy() -> Proxy:
     """Start the proxy that the environment describes; it takes over from a running process if there is one.
 
-    Raises ConfigurationError if a file or variable cannot be used, OSError if an address cannot.
+    Raises ConfigurationError if the proxy file or a variable cannot be used, OSError if one of its addresses
+    cannot.
     """
-    config, broker_config = read_files()
+    config = load_proxy_file()
     listener = platform_listener()
     if listener is None:
-        return Proxy.start(config, broker_config)
+        return Proxy.start(config, load_broker_file())
     socket_path = TakeoverSocketPath(config.name)
-    return Proxy.start(config, broker_config, listener, socket_path, request_takeover(socket_path))
+    predecessor = request_takeover(socket_path)
+    broker_file = load_broker_file(import_broker_file(predecessor))
+    return Proxy.start(config, broker_file, listener, socket_path, predecessor)
 
 
 def main() -> int:
@@ -70,7 +74,7 @@
         listen=f"{proxy.config.listen[0]}:{proxy.config.listen[1]}",
         start_ms=int(time.process_time() * 1000),
     )
-    proxy.log_settings()
+    proxy.log_configuration()
     proxy.loop.run()
     ignore_signals()
     proxy.hot_restart.end()
--- a/linnetshift/admin/operations.py
+++ b/linnetshift/admin/operations.py
@@ -17,6 +17,9 @@
     def resource_usage(self) -> dict[str, ResourceUsage]:
         """Size and bound of each container that exists as long as the process, by its name."""
 
+    def configuration_status(self) -> dict[str, object]:
+        """What of the configuration files is not in force at the moment, as an object for JSON."""
+
     def is_drain_limit_reached(self, endpoint: bytes) -> bool:
         """Whether too many endpoints are drained for this one to be drained too."""
 
--- a/linnetshift/admin/routes.py
+++ b/linnetshift/admin/routes.py
@@ -15,6 +15,7 @@
 
 READINESS_PATH = "/ops/readiness"
 RESOURCE_USAGE_PATH = "/ops/census"
+CONFIGURATION_PATH = "/ops/configuration"
 DRAIN_PATH = "/ops/servers/down"
 RESTORE_PATH = "/ops/servers/up"
 ENDPOINT_PARAMETER = "id"
@@ -86,6 +87,11 @@
     return Response(HTTPStatus.OK, json.dumps(usage_by_name, indent=1))
 
 
+def show_configuration_status(operations: Operations, _query: str) -> Response:
+    """What of the configuration files is not in force, as JSON."""
+    return Response(HTTPStatus.OK, json.dumps(operations.configuration_status(), indent=1))
+
+
 def drain_endpoint(operations: Operations, query: str) -> Response | DrainChange:
     """Drain the endpoint in the query; 507 if too many are drained already."""
     change = parse_drain_change(query, is_drained=True)
@@ -110,6 +116,7 @@
 ROUTES = {
     READINESS_PATH: Route(("GET", "HEAD"), check_readiness),
     RESOURCE_USAGE_PATH: Route(("GET", "HEAD"), show_resource_usage),
+    CONFIGURATION_PATH: Route(("GET", "HEAD"), show_configuration_status),
     DRAIN_PATH: Route(("PUT",), drain_endpoint),
     RESTORE_PATH: Route(("PUT",), restore_endpoint),
 }
--- a/linnetshift/config/broker_file.py
+++ b/linnetshift/config/broker_file.py
@@ -1,26 +1,30 @@
-"""The broker file: a TOML document that configures channels, VRRP and contracts."""
+"""The broker file: a TOML document of the operator that configures channels, VRRP and contracts.
+
+Its parts stand alone: one that cannot be used is reported and replaced by its last good version, and the
+others are used. Nothing in it affects whether the proxy file is used.
+"""
 
 from __future__ import annotations
 
 import ipaddress
-import math
 import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, NamedTuple
-
-from linnetshift.broker.contracts import Contract, Contracts
-from linnetshift.config.errors import (
-    INVALID_VALUE_ERRORS,
-    FileSyntaxError,
-    InvalidValueError,
-    MissingKeyError,
-    UnreadableFileError,
+from typing import Any, TypeVar
+
+from linnetshift.broker.contracts import ContractList
+from linnetshift.config.broker_parts import (
+    CHANNELS_PART,
+    VRRP_PART,
+    WHOLE_FILE,
+    UnusablePart,
+    UnusablePartError,
 )
+from linnetshift.config.contracts_section import ContractsReader
+from linnetshift.config.errors import INVALID_VALUE_ERRORS
 from linnetshift.config.key_tree import NestingError, check_nesting
-from linnetshift.config.names import NameRegistry
 from linnetshift.event_loop.address import Address, parse_address
-from linnetshift.routing.settings import Settings
-from linnetshift.util.token_bucket import TokenBucket
 from linnetshift.vrrp.router import VrrpConfig
 
 DEFAULT_FILE = Path(__file__).parent.parent.parent / "deploy" / "broker.toml"
@@ -35,59 +39,134 @@
 DEFAULT_PRIORITY = 100
 DEFAULT_INTERVAL_CS = 100
 
-ClassNumbers = dict[str, set[int]]
-"""All current and former numbers of the classes of one name, by that name."""
+Parsed = TypeVar("Parsed")
 
 
-class BrokerConfig(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class BrokerConfig:
     """The contents of the broker file; features that it does not enable are off."""
 
     channels: Address | None = None
     vrrp: VrrpConfig | None = None
-    contracts: Contracts = Contracts()
+    contracts: ContractList = field(default_factory=ContractList)
+
+
+@dataclass(frozen=True, slots=True)
+class BrokerFileReading:
+    """What is in force after the file was read, and what of it could not be used."""
+
+    config: BrokerConfig
+    unusable: tuple[UnusablePart, ...] = ()
 
+    def lacks(self, path: str) -> bool:
+        """Whether no version of this part, or of the whole file, has ever been usable."""
+        return any(not part.has_last_good for part in self.unusable if part.path in (path, WHOLE_FILE))
 
-def read_broker_file(path: str | None, names: NameRegistry, settings: Settings) -> BrokerConfig:
-    """Read `path`, or `deploy/broker.toml` if it is empty; raises ConfigurationError.
 
-    If `deploy/broker.toml` is missing, all features are off; a missing file at `path` is an error.
+def read_broker_file(
+    path: str | None, last_good: BrokerFileReading | None = None, may_change_vrrp: bool = True
+) -> BrokerFileReading:
+    """Read `path`, or `deploy/broker.toml` if it is empty; what cannot be used is in the result.
+
+    `last_good` is what has been in force, None at a start. At a reload VRRP may not change. If
+    `deploy/broker.toml` is missing, all features are off; a missing file at `path` cannot be used.
     """
     file = Path(path) if path else DEFAULT_FILE
-    if not path and not file.exists():
-        return BrokerConfig()
-    document = _load_document(file)
-    try:
-        return _parse_document(document, names, settings)
-    except KeyError as error:
-        raise MissingKeyError(file, error.args[0]) from None
-    except INVALID_VALUE_ERRORS as error:
-        raise InvalidValueError(file, error) from None
+    document: dict[str, Any] = {}
+    if path or file.exists():
+        try:
+            document = _load_document(file)
+        except UnusablePartError as error:
+            return _without_document(f"{file}{error}", last_good)
+    return _BrokerFileReader(document, last_good, may_change_vrrp).read()
+
+
+def _without_document(reason: str, last_good: BrokerFileReading | None) -> BrokerFileReading:
+    """Return what is in force where nothing of the file can be used."""
+    has_last_good = last_good is not None and not last_good.lacks(WHOLE_FILE)
+    config = last_good.config if last_good is not None else BrokerConfig()
+    return BrokerFileReading(config, (UnusablePart(WHOLE_FILE, reason, has_last_good),))
 
 
 def _load_document(file: Path) -> dict[str, Any]:
+    """Raise UnusablePartError where the file cannot be read or is not TOML."""
     try:
         document = tomllib.loads(file.read_text(encoding="utf-8"))
         check_nesting(document)
-        return document
     except OSError as error:
-        raise UnreadableFileError(file, error.strerror) from None
+        raise UnusablePartError(f": cannot be read: {error.strerror}") from None
     except RecursionError:
-        raise InvalidValueError(file, NestingError()) from None
+        raise UnusablePartError(f": {NestingError()}") from None
     except NestingError as error:
-        raise InvalidValueError(file, error) from None
+        raise UnusablePartError(f": {error}") from None
     except ValueError as error:
-        raise FileSyntaxError(file, "TOML", error) from None
+        raise UnusablePartError(f" is not TOML: {error}") from None
+    return document
+
+
+class _BrokerFileReader:
+    """Reads the parts of one document, and collects those that cannot be used."""
+
+    def __init__(
+        self, document: dict[str, Any], last_good: BrokerFileReading | None, may_change_vrrp: bool
+    ) -> None:
+        self.document = document
+        self.last_good = last_good
+        self.in_force = last_good.config if last_good is not None else BrokerConfig()
+        self.may_change_vrrp = may_change_vrrp
+        self.unusable: list[UnusablePart] = []
+
+    def read(self) -> BrokerFileReading:
+        """Return the configuration in force: of each part the document's version, or the last good one."""
+        vrrp = self._read_vrrp()
+        channels = self._read_channels()
+        former_contracts = self.last_good.config.contracts if self.last_good is not None else None
+        contracts = ContractsReader(self.document, former_contracts).read()
+        unusable = (*self.unusable, *contracts.unusable)
+        return BrokerFileReading(BrokerConfig(channels, vrrp, contracts.contracts), unusable)
+
+    def _leave_out(self, path: str, reason: str) -> None:
+        has_last_good = self.last_good is not None and not self.last_good.lacks(path)
+        self.unusable.append(UnusablePart(path, reason, has_last_good))
+
+    def _read_vrrp(self) -> VrrpConfig | None:
+        try:
+            config = _parse_enabled_table(self.document, VRRP_PART, _parse_vrrp)
+        except UnusablePartError as error:
+            self._leave_out(VRRP_PART, str(error))
+            return self.in_force.vrrp
+        if not self.may_change_vrrp and config != self.in_force.vrrp:
+            self._leave_out(VRRP_PART, "a change of [vrrp] needs a restart")
+            return self.in_force.vrrp
+        return config
+
+    def _read_channels(self) -> Address | None:
+        if any(not part.has_last_good for part in self.unusable):
+            # Without the router that it should follow, a backup would accept channels.
+            self._leave_out(CHANNELS_PART, "[vrrp] decides when it listens, and cannot be used")
+            return self.in_force.channels
+        try:
+            return _parse_enabled_table(self.document, CHANNELS_PART, _parse_listen_address)
+        except UnusablePartError as error:
+            self._leave_out(CHANNELS_PART, str(error))
+            return self.in_force.channels
+
+
+def _parse_enabled_table(
+    document: dict[str, Any], key: str, parse: Callable[[dict[str, Any]], Parsed]
+) -> Parsed | None:
+    """Parse the table if it is enabled; None if it is absent or not enabled. Raises UnusablePartError."""
+    try:
+        table = document.get(key, {})
+        return parse(table) if table.get("enabled") else None
+    except KeyError as error:
+        raise UnusablePartError(f"key {error.args[0]!r} is missing") from None
+    except INVALID_VALUE_ERRORS as error:
+        raise UnusablePartError(str(error)) from None
 
 
-def _parse_document(document: dict[str, Any], names: NameRegistry, settings: Settings) -> BrokerConfig:
-    """Raises KeyError for a missing key, and INVALID_VALUE_ERRORS for values of a wrong type or range."""
-    channels = document.get("channels", {})
-    vrrp = document.get("vrrp", {})
-    return BrokerConfig(
-        channels=parse_address(str(channels["listen"])) if channels.get("enabled") else None,
-        vrrp=_parse_vrrp(vrrp) if vrrp.get("enabled") else None,
-        contracts=_parse_contracts(document.get("contract", []), names, settings),
-    )
+def _parse_listen_address(table: dict[str, Any]) -> Address:
+    return parse_address(str(table["listen"]))
 
 
 def _parse_vrrp(raw: dict[str, Any]) -> VrrpConfig:
@@ -110,56 +189,3 @@
             f"got {config.interval_cs} and {len(config.addresses)} addresses"
         )
     return config
-
-
-def _parse_contracts(raw: list[dict[str, Any]], names: NameRegistry, settings: Settings) -> Contracts:
-    """The contracts, by the number of their team.
-
-    A contract names services and applies to every class that has or had such a name, regardless of its rules.
-    """
-    class_numbers: ClassNumbers = {}
-    for number, request_class in enumerate(settings.classes):
-        class_numbers.setdefault(request_class.name, set()).add(number)
-    teams: dict[int, Contract] = {}
-    for item in raw:
-        team = str(item["team"])
-        contract = _parse_contract(item, team, names, class_numbers)
-        teams[names.tenants[team]] = contract
-    return Contracts(teams)
-
-
-def _parse_contract(
-    item: dict[str, Any], team: str, names: NameRegistry, class_numbers: ClassNumbers
-) -> Contract:
-    services = item.get("services")
-    service_names = [str(service) for service in services or []]
-    _check_known("team", team, names.tenants)
-    for name in service_names:
-        _check_known("service", name, class_numbers)
-    classes: frozenset[int] | None = None
-    if services is not None:
-        classes = frozenset().union(*(class_numbers[str(service)] for service in services))
-    return Contract(
-        services=classes,
-        rate=_parse_token_bucket(item, "rate_per_s", "rate_burst"),
-        retries=_parse_token_bucket(item, "retries_per_s", "retries_burst"),
-        concurrency=int(item["concurrency"]) if "concurrency" in item else None,
-    )
-
-
-def _check_known(kind: str, name: str, known: dict[str, Any]) -> None:
-    if name not in known:
-        raise ValueError(f"a contract names the unknown {kind} {name!r}")
-
-
-def _parse_token_bucket(item: dict[str, Any], rate_key: str, burst_key: str) -> TokenBucket | None:
-    """The token bucket of a rate in requests per second and a burst in requests; None without a rate."""
-    if rate_key not in item:
-        return None
-    rate = float(item[rate_key])
-    burst = float(item.get(burst_key, max(1.0, rate)))
-    if not 0.0 < rate < math.inf or not 1.0 <= burst < math.inf:
-        raise ValueError(
-            f"{rate_key} must be above 0 and {burst_key} 1 or more, both finite; got {rate:g} and {burst:g}"
-        )
-    return TokenBucket(rate, burst)
--- a/linnetshift/config/key_tree.py
+++ b/linnetshift/config/key_tree.py
@@ -50,7 +50,7 @@
             return cls(keys={key: cls.of(child) for key, child in value.items()})
         if isinstance(value, list):
             return cls._of_list(value)
-        return cls()
+        return _LEAF
 
     @classmethod
     def _of_list(cls, items: list[Any]) -> KeyTree:
@@ -102,6 +102,9 @@
         return (common,) * len(later.other_items)
 
 
+_LEAF = KeyTree()  # shared by all values without keys: a list of thousands of endpoints has many
+
+
 def _common_keys(trees: tuple[KeyTree, ...]) -> KeyTree:
     """Return the tree of the outermost keys that all trees have."""
     if not trees:
--- a/linnetshift/config/loader.py
+++ b/linnetshift/config/loader.py
@@ -1,31 +1,29 @@
-"""Reads the two configuration files named by environment variables."""
+"""Reads the two configuration files named by environment variables.
+
+They have different owners and are independent of each other: the proxy file is the platform's and is valid or
+not as a whole; the broker file is the operator's, and its parts stand alone.
+"""
 
 from __future__ import annotations
 
 import os
 from collections.abc import Collection
-from typing import NamedTuple
 
-from linnetshift.config.broker_file import BrokerConfig, read_broker_file
+from linnetshift.config.broker_file import BrokerFileReading, read_broker_file
 from linnetshift.config.proxy_file import PROXY_FILE_VARIABLE, ProxyConfig, read_config
 
 BROKER_FILE_VARIABLE = "LINNETSHIFT_BROKER"
 
 
-class ConfigurationFiles(NamedTuple):
-    """The contents of both files."""
-
-    proxy: ProxyConfig
-    broker: BrokerConfig
+def load_proxy_file(
+    former: ProxyConfig | None = None, classes_in_use: Collection[int] | None = None
+) -> ProxyConfig:
+    """Read the proxy file; raises ConfigurationError. The parameters are for a reload, see `read_config`."""
+    return read_config(os.environ.get(PROXY_FILE_VARIABLE), former, classes_in_use)
 
 
-def read_files(
-    former: ProxyConfig | None = None, classes_in_use: Collection[int] | None = None
-) -> ConfigurationFiles:
-    """Read the proxy file and the broker file; raises ConfigurationError.
-
-    `former` and `classes_in_use` are for a reload, see `read_config`.
-    """
-    proxy = read_config(os.environ.get(PROXY_FILE_VARIABLE), former, classes_in_use)
-    broker = read_broker_file(os.environ.get(BROKER_FILE_VARIABLE), proxy.names, proxy.settings)
-    return ConfigurationFiles(proxy, broker)
+def load_broker_file(
+    last_good: BrokerFileReading | None = None, may_change_vrrp: bool = True
+) -> BrokerFileReading:
+    """Read the broker file; the parameters are those of `read_broker_file`."""
+    return read_broker_file(os.environ.get(BROKER_FILE_VARIABLE), last_good, may_change_vrrp)
--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -58,38 +58,32 @@
         self.bind_failure = ""  # address and cause of the last one
         self.bind_retry = BindRetry(loop)  # to start VRRP or, without VRRP, to listen
 
-    def start(
-        self, vrrp: VrrpConfig | None, predecessor: PredecessorChannels | None, retries_listening: bool
-    ) -> None:
-        """Listen, or start VRRP, as the active router if the predecessor was; raises OSError.
+    def start(self, vrrp: VrrpConfig | None, predecessor: PredecessorChannels | None) -> None:
+        """Listen, or start VRRP, as the active router if the predecessor was.
 
-        With `retries_listening` a failure to bind an address is retried instead: another process of this
-        proxy may hold it until it exits.
+        A failure to bind an address is retried: another process of this proxy may hold it until it exits, and
+        clients of the line protocol are served meanwhile.
         """
         self.vrrp_config = vrrp
         if predecessor is not None:
             self._adopt_listener(predecessor)
         if vrrp is not None:
             was_active = predecessor is not None and predecessor.was_active
-            self._start_vrrp(vrrp, was_active, retries_listening)
-        elif retries_listening:
+            self._start_vrrp(vrrp, was_active)
+        else:
             self._listen_or_retry()
-        elif self.address is not None:
-            self._listen(self.address)
         while self.inherited_sockets:
             _, unused = self.inherited_sockets.popitem()
             unused.close()
 
-    def _start_vrrp(self, config: VrrpConfig, was_active: bool, is_retried: bool) -> None:
-        """Start the router; raises OSError where its socket cannot be bound, unless that is retried."""
+    def _start_vrrp(self, config: VrrpConfig, was_active: bool) -> None:
+        """Start the router; an attempt to bind its socket that fails is repeated."""
         try:
             self.vrrp = Vrrp(self.loop, config, self, self._take_vrrp_socket(config), was_active)
         except OSError as error:
-            if not is_retried:
-                raise
             self._handle_vrrp_failure(config, error)
             # The peers count the predecessor as gone by then: this router starts as a backup.
-            self.bind_retry.schedule(partial(self._start_vrrp, config, was_active=False, is_retried=True))
+            self.bind_retry.schedule(partial(self._start_vrrp, config, was_active=False))
             return
         self.bind_retry.cancel()
         self.vrrp.start(self.vrrp.run())
@@ -112,24 +106,26 @@
         """Whether VRRP is on and this proxy is the active router."""
         return self.vrrp is not None and self.vrrp.router.state is State.ACTIVE
 
-    def needs_listener(self, address: Address | None) -> bool:
-        """Whether a reload has to open a listener at this address for channels.
+    def configure(self, address: Address | None) -> None:
+        """Use another address, or none, after a reload.
 
-        A backup router opens it once it becomes active; attempts at an unchanged address are repeated anyway.
+        While the address cannot be bound, a former listener stays open and the attempt is repeated. A backup
+        router listens once it becomes active.
         """
-        if address is None or address == self.frontend.address:
-            return False
-        if self.vrrp_config is not None:
-            return self.is_vrrp_active
-        return not (self.is_retrying and address == self.address)
-
-    def configure(self, address: Address | None) -> None:
-        """Use another address, or none, after a reload has opened the listener that it needs."""
+        is_changed = address != self.address
         self.address = address
         if address is None and self.frontend.address is not None:
             self.migrate_channels()
+        # Attempts at an unchanged address are repeated anyway.
+        if self._is_due_to_listen() and (is_changed or not self.is_retrying):
+            self.bind_retry.cancel()
+            self._listen_or_retry()
         self._update_inherited_listener()
 
+    def _is_due_to_listen(self) -> bool:
+        """Whether this process decides to listen, and not a router that is a backup or not started yet."""
+        return not self.is_replaced and (self.vrrp_config is None or self.is_vrrp_active)
+
     def export_role(self) -> bool:
         """Return whether this proxy is the active router, as which its successor then starts."""
         self.exported_as_active = self.is_vrrp_active
@@ -215,6 +211,10 @@
         """Why this proxy can't accept channels, or take part in VRRP, although it should; empty otherwise."""
         return f"cannot bind {self.bind_failure}" if self.is_retrying else ""
 
+    def not_routing_reason(self) -> str:
+        """Why this proxy can't take the role of the active VRRP router; empty where it can, or has none."""
+        return self.not_listening_reason() if self.vrrp_config is not None and not self.is_vrrp_active else ""
+
     def _handle_vrrp_failure(self, config: VrrpConfig, error: OSError) -> None:
         address = format_address(config.listen)
         if self._is_new_failure(address, error):
@@ -249,7 +249,7 @@
         if self.vrrp is not None:
             self._resume_vrrp(self.vrrp)
         elif self.vrrp_config is not None:
-            self._start_vrrp(self.vrrp_config, was_active=False, is_retried=True)
+            self._start_vrrp(self.vrrp_config, was_active=False)
         else:
             self._listen_or_retry()
 
@@ -274,7 +274,7 @@
         self._update_inherited_listener()
 
     def _listen_or_retry(self) -> None:
-        if self.start_serving():
+        if not self._is_due_to_listen() or self.start_serving():
             self.bind_retry.cancel()
         else:
             self.bind_retry.schedule(self._listen_or_retry)
--- a/linnetshift/lifecycle/imported_state.py
+++ b/linnetshift/lifecycle/imported_state.py
@@ -95,7 +95,7 @@
     def _restore_token_buckets(self, broker: Broker) -> None:
         """Restore the buckets of teams that have a contract here; raises one of _WRONG_SHAPE_ERRORS."""
         for team, buckets in self.state[TOKEN_BUCKETS_KEY].items():
-            contract = broker.contracts.teams.get(self.names.tenants[team])
+            contract = broker.contracts.find(team)
             if contract is not None:
                 restore_token_bucket(contract.rate, buckets[0])
                 restore_token_bucket(contract.retries, buckets[1])
--- a/linnetshift/lifecycle/local_process.py
+++ b/linnetshift/lifecycle/local_process.py
@@ -15,7 +15,9 @@
 from linnetshift.event_loop.connection_limits import ConnectionLimiter
 from linnetshift.event_loop.loop import Loop
 from linnetshift.frontends.line_protocol.frontend import LineProtocolFrontend
+from linnetshift.lifecycle.broker_file_state import export_broker_file
 from linnetshift.lifecycle.channels_activation import ChannelsActivation
+from linnetshift.lifecycle.reload import ConfigurationReloader
 from linnetshift.lifecycle.shutdown_coordinator import ShutdownCoordinator
 from linnetshift.lifecycle.takeover_messages import ExportedState, PeerResources
 from linnetshift.lifecycle.token_bucket_state import export_token_buckets
@@ -37,6 +39,7 @@
     frontend: LineProtocolFrontend
     activation: ChannelsActivation
     shutdown: ShutdownCoordinator
+    reloader: ConfigurationReloader
     migrated_by_peer: int  # clients that the other process had told to migrate when it last reported
 
     def export_state(self) -> ExportedState:
@@ -44,12 +47,13 @@
         return ExportedState(
             endpoint_list={"rev": self.discovery.version, "all": True, "targets": self._listed_endpoints()},
             administrative_drains=self.broker.administrative_drains.export_state(),
-            token_buckets=export_token_buckets(self.broker.contracts, self.names.tenants),
+            token_buckets=export_token_buckets(self.broker.contracts),
             peer_resources=self.peer_resources(),
             snapshot=export_state(self.broker.balancer, self.broker.latency_estimator),
             is_vrrp_active=self.activation.export_role(),
             # What this process inherited itself, its own predecessor may still hold.
             closes_listener=self.activation.inherited_listener is None,
+            broker_file=export_broker_file(self.reloader.broker_file),
             descriptors=self.activation.descriptors(),
         )
 
--- a/linnetshift/lifecycle/reload.py
+++ b/linnetshift/lifecycle/reload.py
@@ -1,4 +1,8 @@
-"""Reload: both configuration files are read again while the proxy continues to serve."""
+"""Reload: both configuration files are read again while the proxy continues to serve.
+
+The files are independent of each other, and so are the listeners: what cannot be used, or bound, leaves the
+rest unaffected. See docs/configuration-reload.md.
+"""
 
 from __future__ import annotations
 
@@ -8,10 +12,11 @@
 
 from linnetshift.admin.server import AdminServer
 from linnetshift.broker.broker import Broker
-from linnetshift.config.broker_file import BrokerConfig
-from linnetshift.config.errors import ConfigurationError, RestartRequiredError
-from linnetshift.config.loader import ConfigurationFiles, read_files
-from linnetshift.config.names import NameRegistry
+from linnetshift.broker.contracts import Contracts
+from linnetshift.config.broker_file import BrokerFileReading
+from linnetshift.config.errors import ConfigurationError
+from linnetshift.config.loader import load_broker_file, load_proxy_file
+from linnetshift.config.names import DiscontinuedNames, NameRegistry
 from linnetshift.config.proxy_file import ProxyConfig
 from linnetshift.discovery.endpoint_list import EndpointListUpdate
 from linnetshift.discovery.watch import Discovery
@@ -20,28 +25,22 @@
 from linnetshift.event_loop.loop import Loop
 from linnetshift.event_loop.timers import S
 from linnetshift.frontends.line_protocol.frontend import LineProtocolFrontend
-from linnetshift.frontends.listener import Acceptor, Frontend
 from linnetshift.lifecycle.channels_activation import ChannelsActivation
+from linnetshift.lifecycle.configuration_status import (
+    ConfigurationStatus,
+    log_broker_file,
+    unmatched_names,
+)
+from linnetshift.lifecycle.listener_switch import ListenerSwitch
 from linnetshift.lifecycle.log_summaries import log_settings
 from linnetshift.observability import log
 
-# How long requests of a discontinued class are still accepted, as clients learn of the change later.
-DISCONTINUED_CLASS_GRACE_NS = 30 * S
-
-
-@dataclass(slots=True, eq=False, repr=False)
-class BoundListeners:
-    """Listeners opened by a reload; each is owned by the frontend or server that it is then passed to."""
+# How long requests of a discontinued class or tenant are still accepted, as clients learn of it later.
+DISCONTINUED_NAME_GRACE_NS = 30 * S
 
-    frontends: list[tuple[Frontend, Acceptor]] = field(default_factory=list)
-    admin: Acceptor | None = None
-
-    def close(self) -> None:
-        """Close all of them, as the reload has failed."""
-        for _, acceptor in self.frontends:
-            acceptor.close()
-        if self.admin is not None:
-            self.admin.close()
+# Keys of the listeners' addresses in the proxy file.
+LISTEN_KEY = "listen"
+ADMIN_ADDRESS_KEY = "admin_addr"
 
 
 @dataclass(slots=True, kw_only=True, eq=False, repr=False)
@@ -52,7 +51,7 @@
     """
 
     config: ProxyConfig
-    broker_config: BrokerConfig
+    broker_file: BrokerFileReading
     loop: Loop
     names: NameRegistry  # of this process; the names in `config` are merged into it
     broker: Broker
@@ -62,72 +61,96 @@
     admin_server: AdminServer
     handle_list_update: Callable[[EndpointListUpdate], None]
     has_platform_listener: bool  # the platform owns the clients' listening socket: its address is fixed
+    client_listener: ListenerSwitch = field(init=False)
+    admin_listener: ListenerSwitch = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the switches of the listeners whose addresses are in the proxy file."""
+        self.client_listener = ListenerSwitch(
+            self.loop,
+            LISTEN_KEY,
+            lambda: self.frontend.address,
+            lambda address: self.frontend.listen(address),
+            # Not while this process shuts down, or a successor accepts in its place.
+            lambda: not self.frontend.is_draining,
+        )
+        self.admin_listener = ListenerSwitch(
+            self.loop, ADMIN_ADDRESS_KEY, lambda: self.admin_server.address, self._listen_for_admin
+        )
 
     def reload(self) -> None:
-        """Read and apply both files, or change nothing where one is invalid or an address can't be bound.
+        """Read both files, and apply what can be used of each.
 
-        Both files are validated and all new listeners open before the first change.
+        An unusable proxy file changes nothing but what the broker file changes, and the other way round.
         """
-        listeners = BoundListeners()
+        self.broker_file = load_broker_file(self.broker_file, may_change_vrrp=False)
         try:
-            files = read_files(self.config, self._classes_in_use())
-            if files.broker.vrrp != self.broker_config.vrrp:
-                raise RestartRequiredError("vrrp")
-            self._bind(files, listeners)
-        except (ConfigurationError, OSError) as error:
-            listeners.close()
+            config = load_proxy_file(self.config, self._classes_in_use())
+        except ConfigurationError as error:
             log.info("configuration-rejected", error=str(error))
+            self._apply_broker_file()
             return
-        self._switch_listeners(files, listeners)
-        discontinued = self._apply(files)
+        discontinued = self._apply(config)
         log.info(
             "configuration-reloaded",
             discovery=f"{self.config.discovery[0]}:{self.config.discovery[1]}",
             classes=",".join(offered.name for offered in self.config.settings.offered),
-            dropped=",".join(discontinued),
+            dropped=",".join(discontinued.classes),
         )
         log_settings(self.config.settings)
 
+    def status(self) -> ConfigurationStatus:
+        """Return what of the configuration is not in force at the moment."""
+        listeners = {
+            switch.key: switch.failure
+            for switch in (self.client_listener, self.admin_listener)
+            if switch.failure
+        }
+        if reason := self.activation.not_listening_reason():
+            listeners["channels"] = reason
+        names = unmatched_names(self.broker_file, self.config.names)
+        return ConfigurationStatus(self.broker_file.unusable, names, listeners)
+
     def _classes_in_use(self) -> set[int]:
         """Return the classes of open requests, and those that clients may still request."""
         of_open_requests = {request.class_number for request in self.broker.requests.values()}
         return of_open_requests | {*self.names.classes.values()}
 
-    def _bind(self, files: ConfigurationFiles, listeners: BoundListeners) -> None:
-        """Open the listeners at addresses that have changed; raises OSError."""
-        admin = files.proxy.admin
-        if admin is not None and admin != self.admin_server.address:
-            listeners.admin = self.admin_server.open_acceptor(admin)
-        if self.frontend.is_draining:
-            return  # this process shuts down, or a successor accepts in its place
-        if not self.has_platform_listener:
-            self._bind_frontend(self.frontend, files.proxy.listen, listeners)
-        if self.activation.needs_listener(files.broker.channels):
-            self._bind_frontend(self.activation.frontend, files.broker.channels, listeners)
-
-    def _bind_frontend(self, frontend: Frontend, address: Address | None, listeners: BoundListeners) -> None:
-        if address is not None and address != frontend.address:
-            acceptor = Acceptor(self.loop, address, frontend.handle_connection)
-            listeners.frontends.append((frontend, acceptor))
-
-    def _switch_listeners(self, files: ConfigurationFiles, listeners: BoundListeners) -> None:
-        for frontend, acceptor in listeners.frontends:
-            frontend.replace_acceptor(acceptor)
-        if listeners.admin is not None or files.proxy.admin is None:
-            self.admin_server.replace_acceptor(listeners.admin)
-
-    def _apply(self, files: ConfigurationFiles) -> dict[str, int]:
-        """Use the new configuration from now on; return the discontinued classes by name."""
-        self.config = files.proxy
-        self.broker_config = files.broker
-        self.activation.configure(files.broker.channels)
-        discontinued = self.names.update_from(files.proxy.names)
-        self.broker.configure(files.proxy.settings, files.broker.contracts)
-        self.loop.call_later(DISCONTINUED_CLASS_GRACE_NS, partial(self._remove_classes, discontinued))
-        if files.proxy.cached_list.event.version > self.discovery.version:
-            self.handle_list_update(files.proxy.cached_list)
-        self.discovery.reconfigure(files.proxy.discovery, WatchTimeouts.of(files.proxy.settings))
+    def _apply(self, config: ProxyConfig) -> DiscontinuedNames:
+        """Use the new proxy file from now on; return the discontinued names."""
+        self.config = config
+        self._move_listeners(config)
+        discontinued = self.names.update_from(config.names)
+        self._apply_broker_file()
+        self.loop.call_later(DISCONTINUED_NAME_GRACE_NS, partial(self._remove_names, discontinued))
+        if config.cached_list.event.version > self.discovery.version:
+            self.handle_list_update(config.cached_list)
+        self.discovery.reconfigure(config.discovery, WatchTimeouts.of(config.settings))
         return discontinued
 
-    def _remove_classes(self, discontinued: dict[str, int]) -> None:
-        self.names.remove_classes(discontinued, self.config.settings.offered_numbers)
+    def _apply_broker_file(self) -> None:
+        """Use what is in force of the broker file, with the settings in use."""
+        log_broker_file(self.broker_file, self.config.names)
+        if not self.frontend.is_draining:  # this process shuts down, or a successor accepts in its place
+            self.activation.configure(self.broker_file.config.channels)
+        self.broker.configure(self.config.settings, self._contracts())
+
+    def _contracts(self) -> Contracts:
+        tenants = self.names.ever_listed.tenants
+        return Contracts.of(self.broker_file.config.contracts, tenants, self.config.settings.classes)
+
+    def _move_listeners(self, config: ProxyConfig) -> None:
+        if config.admin is None:
+            self.admin_listener.cancel()
+            self.admin_server.replace_acceptor(None)
+        else:
+            self.admin_listener.move_to(config.admin)
+        if not self.has_platform_listener:
+            self.client_listener.move_to(config.listen)
+
+    def _listen_for_admin(self, address: Address) -> None:
+        """Raise OSError if the address cannot be bound."""
+        self.admin_server.replace_acceptor(self.admin_server.open_acceptor(address))
+
+    def _remove_names(self, discontinued: DiscontinuedNames) -> None:
+        self.names.remove_discontinued(discontinued, self.config.names)
--- a/linnetshift/lifecycle/takeover_messages.py
+++ b/linnetshift/lifecycle/takeover_messages.py
@@ -37,6 +37,7 @@
 SNAPSHOT_KEY = "memory"
 IS_VRRP_ACTIVE_KEY = "active"
 CLOSES_LISTENER_KEY = "closes_listener"
+BROKER_FILE_KEY = "broker_file"
 DESCRIPTOR_NAMES_KEY = "passed"
 
 # Bounds of what a peer may report: no process has more descriptors than the kernel's usual hard limit, and a
@@ -136,6 +137,7 @@
     snapshot: dict[str, Any]  # of the balancer and the latency estimator
     is_vrrp_active: bool
     closes_listener: bool  # the channels listener, as soon as the sender is replaced
+    broker_file: dict[str, Any]  # the broker file's parts in force
     descriptors: dict[str, int]  # sockets by name, passed as ancillary data in this order
 
     def to_json(self) -> dict[str, object]:
@@ -150,6 +152,7 @@
             IS_VRRP_ACTIVE_KEY: self.is_vrrp_active,
             DESCRIPTOR_NAMES_KEY: list(self.descriptors),
             CLOSES_LISTENER_KEY: self.closes_listener,
+            BROKER_FILE_KEY: self.broker_file,
         }
 
 
--- a/linnetshift/lifecycle/token_bucket_state.py
+++ b/linnetshift/lifecycle/token_bucket_state.py
@@ -2,29 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
 from linnetshift.broker.contracts import Contracts
 from linnetshift.util.token_bucket import TokenBucket
 
 TokenBucketState = list[float]  # level in tokens, and the time in ns for which it was computed
 
 
-def export_token_buckets(
-    contracts: Contracts, tenants: Mapping[str, int]
-) -> dict[str, list[TokenBucketState | None]]:
+def export_token_buckets(contracts: Contracts) -> dict[str, list[TokenBucketState | None]]:
     """Return the buckets for requests and for retries by team name; None where the contract sets no limit.
 
-    `tenants` has the teams' numbers by name; the names are exported, as numbers differ between processes.
+    The names are exported, as numbers differ between processes.
     """
-    teams = {number: name for name, number in tenants.items()}
     return {
-        teams[team]: [
+        team: [
             None if bucket is None else [bucket.level, bucket.refilled_at_ns]
             for bucket in (contract.rate, contract.retries)
         ]
-        for team, contract in contracts.teams.items()
-        if team in teams
+        for team, contract in contracts.by_name().items()
     }
 
 
--- a/linnetshift/proxy.py
+++ b/linnetshift/proxy.py
@@ -11,7 +11,8 @@
 from linnetshift.admin.server import AdminServer
 from linnetshift.broker.administrative_drains import MAX_LISTED
 from linnetshift.broker.broker import Broker
-from linnetshift.config.broker_file import BrokerConfig
+from linnetshift.broker.contracts import Contracts
+from linnetshift.config.broker_file import BrokerConfig, BrokerFileReading
 from linnetshift.config.proxy_file import ProxyConfig
 from linnetshift.decision_loop import DecisionLoop
 from linnetshift.discovery.endpoint_list import EndpointListUpdate
@@ -23,6 +24,7 @@
 from linnetshift.frontends.channels.frontend import MAX_OPEN_CHANNELS, ChannelsFrontend
 from linnetshift.frontends.line_protocol.frontend import LineProtocolFrontend
 from linnetshift.lifecycle.channels_activation import ChannelsActivation
+from linnetshift.lifecycle.configuration_status import log_broker_file
 from linnetshift.lifecycle.hot_restart import HotRestart
 from linnetshift.lifecycle.imported_state import ImportedState
 from linnetshift.lifecycle.local_process import LocalProcess
@@ -47,7 +49,7 @@
     def __init__(
         self,
         config: ProxyConfig,
-        broker_config: BrokerConfig,
+        broker_file: BrokerFileReading,
         platform_listener: socket.socket | None,
         imported: ImportedState,
         socket_path: TakeoverSocketPath | None,
@@ -55,28 +57,30 @@
         self.loop = Loop()
         self.names = config.names
         self.platform_listener = platform_listener
-        self._wire_decisions(config, broker_config, imported.list_update or config.cached_list)
-        self._wire_frontends(config, broker_config, imported)
+        self._wire_decisions(config, broker_file.config, imported.list_update or config.cached_list)
+        self._wire_frontends(config, broker_file.config, imported)
         self.admin_server = AdminServer(self.loop, self)
-        self._wire_lifecycle(config, broker_config, imported)
+        self._wire_lifecycle(config, broker_file, imported)
         self.hot_restart = HotRestart(self.loop, self.local_process, socket_path)
 
     @classmethod
     def start(
         cls,
         config: ProxyConfig,
-        broker_config: BrokerConfig,
+        broker_file: BrokerFileReading,
         platform_listener: socket.socket | None = None,
         socket_path: TakeoverSocketPath | None = None,
         predecessor: PredecessorState | None = None,
     ) -> Proxy:
-        """Create a proxy that serves once its loop runs; raises OSError if an address cannot be used.
+        """Create a proxy that serves once its loop runs.
+
+        Raises OSError if an address of the proxy file cannot be used.
 
         `platform_listener` is the socket that the platform holds for clients, `socket_path` where a
         successor connects to this process, `predecessor` the state that the replaced process handed over.
         """
         imported = ImportedState(predecessor, config.names)
-        proxy = cls(config, broker_config, platform_listener, imported, socket_path)
+        proxy = cls(config, broker_file, platform_listener, imported, socket_path)
         proxy._start_decisions(imported)
         proxy._open_listeners(imported)
         proxy.hot_restart.start(predecessor)
@@ -115,7 +119,7 @@
             self.decision_loop,
             self.discovery,
             self.connector,
-            broker_config.contracts,
+            Contracts.of(broker_config.contracts, config.names.ever_listed.tenants, config.settings.classes),
             list_lease,
         )
         self.decision_loop.broker = self.broker
@@ -132,36 +136,37 @@
         )
 
     def _wire_lifecycle(
-        self, config: ProxyConfig, broker_config: BrokerConfig, imported: ImportedState
+        self, config: ProxyConfig, broker_file: BrokerFileReading, imported: ImportedState
     ) -> None:
         self.shutdown = ShutdownCoordinator(
             self.loop, self.broker, self.frontend, self.activation, self.connection_limiter
         )
-        self.local_process = LocalProcess(
+        self.reloader = ConfigurationReloader(
+            config=config,
+            broker_file=broker_file,
             loop=self.loop,
             names=self.names,
             broker=self.broker,
-            decision_loop=self.decision_loop,
             discovery=self.discovery,
-            connector=self.connector,
-            connection_limiter=self.connection_limiter,
             frontend=self.frontend,
             activation=self.activation,
-            shutdown=self.shutdown,
-            migrated_by_peer=imported.peer_resources.migrated,
+            admin_server=self.admin_server,
+            handle_list_update=self.handle_list_update,
+            has_platform_listener=self.platform_listener is not None,
         )
-        self.reloader = ConfigurationReloader(
-            config=config,
-            broker_config=broker_config,
+        self.local_process = LocalProcess(
             loop=self.loop,
             names=self.names,
             broker=self.broker,
+            decision_loop=self.decision_loop,
             discovery=self.discovery,
+            connector=self.connector,
+            connection_limiter=self.connection_limiter,
             frontend=self.frontend,
             activation=self.activation,
-            admin_server=self.admin_server,
-            handle_list_update=self.handle_list_update,
-            has_platform_listener=self.platform_listener is not None,
+            shutdown=self.shutdown,
+            reloader=self.reloader,
+            migrated_by_peer=imported.peer_resources.migrated,
         )
 
     # ---- start ------------------------------------------------------------------------------
@@ -182,16 +187,16 @@
     def _open_listeners(self, imported: ImportedState) -> None:
         self.frontend.listen(self.config.listen, self.platform_listener)
         self.activation.start(
-            self.reloader.broker_config.vrrp,
+            self.reloader.broker_file.config.vrrp,
             imported.predecessor_channels(),
-            retries_listening=self.platform_listener is not None,
         )
         if self.config.admin is not None:
             self.admin_server.replace_acceptor(self.admin_server.open_acceptor(self.config.admin))
 
-    def log_settings(self) -> None:
-        """Log the settings in use as they were parsed."""
+    def log_configuration(self) -> None:
+        """Log the settings in use as they were parsed, and what of the broker file is not in force."""
         log_settings(self.config.settings)
+        log_broker_file(self.reloader.broker_file, self.config.names)
 
     # ---- events -----------------------------------------------------------------------------
 
@@ -241,7 +246,11 @@
             return "waiting for the list of providers"
         if self.frontend.address is None:
             return "not listening"
-        return self.activation.not_listening_reason()
+        return self.activation.not_routing_reason()
+
+    def configuration_status(self) -> dict[str, object]:
+        """What of the configuration files is not in force, as an object for JSON."""
+        return self.reloader.status().to_json()
 
     def resource_usage(self) -> dict[str, ResourceUsage]:
         """Size and bound of every container that lives as long as the process, as in docs/memory.md."""
--- a/tests/test_admin_routes.py
+++ b/tests/test_admin_routes.py
@@ -21,6 +21,9 @@
     def resource_usage(self) -> dict[str, ResourceUsage]:
         return {"loop.ready": ResourceUsage(1, 2)}
 
+    def configuration_status(self) -> dict[str, object]:
+        return {"unusable": []}
+
     def is_drain_limit_reached(self, endpoint: bytes) -> bool:
         return endpoint == b"full"
 
@@ -35,6 +38,7 @@
     [
         ("GET", "/ops/readiness", Response(200, "taking consumers")),
         ("GET", "/ops/census", Response(200, '{\n "loop.ready": {\n  "size": 1,\n  "bound": 2\n }\n}')),
+        ("GET", "/ops/configuration", Response(200, '{\n "unusable": []\n}')),
         ("GET", "/ops/other", Response(404, "no such call")),
         ("PUT", "/ops/readiness", Response(405, "use GET", (("Allow", "GET, HEAD"),))),
         ("PUT", "/ops/servers/down", Response(400, "give one id, as in ?id=ID")),
