Configuration: the platform's file is taken whatever the operator's file says

Cause: two files with two owners were accepted or rejected as one. A contract had to name listed teams and classes, [vrrp] could not differ, each address had to be bindable, and the broker file had to be TOML, or the proxy file beside it was not applied. Names of teams, zones and models lived until the process ended, so a reload passed where a start of the same files failed.

Contracts are kept by name and matched to numbers when applied. A listener whose new address cannot be bound stays and is retried. At /ops/readiness an address of the operator's counts for the first 4 s of a start, and is told after that.

--- a/linnetshift/admin/operations.py
+++ b/linnetshift/admin/operations.py
@@ -14,6 +14,9 @@
     def not_ready_reason(self) -> str:
         """Why the proxy accepts no clients at the moment; empty while it does."""
 
+    def limitation(self) -> str:
+        """What is not served although clients are accepted; empty if all is."""
+
     def resource_usage(self) -> dict[str, ResourceUsage]:
         """Size and bound of each container that exists as long as the process, by its name."""
 
--- a/linnetshift/admin/routes.py
+++ b/linnetshift/admin/routes.py
@@ -74,11 +74,12 @@
 
 
 def check_readiness(operations: Operations, _query: str) -> Response:
-    """200 while clients are accepted; else 503 and why they are not."""
+    """200 while clients are accepted, and what is not served beside; else 503 and why they are not."""
     reason = operations.not_ready_reason()
     if reason:
         return Response(HTTPStatus.SERVICE_UNAVAILABLE, reason)
-    return Response(HTTPStatus.OK, "taking consumers")
+    limitation = operations.limitation()
+    return Response(HTTPStatus.OK, f"taking consumers; {limitation}" if limitation else "taking consumers")
 
 
 def show_resource_usage(operations: Operations, _query: str) -> Response:
--- a/linnetshift/config/broker_file.py
+++ b/linnetshift/config/broker_file.py
@@ -141,15 +141,16 @@
         return config
 
     def _read_channels(self) -> Address | None:
-        if any(not part.has_last_good for part in self.unusable):
-            # Without the router that it should follow, a backup would accept channels.
-            self._leave_out(CHANNELS_PART, "[vrrp] decides when it listens, and cannot be used")
-            return self.in_force.channels
         try:
-            return _parse_enabled_table(self.document, CHANNELS_PART, _parse_listen_address)
+            address = _parse_enabled_table(self.document, CHANNELS_PART, _parse_listen_address)
         except UnusablePartError as error:
             self._leave_out(CHANNELS_PART, str(error))
             return self.in_force.channels
+        if address is not None and any(not part.has_last_good for part in self.unusable):
+            # Without the router that it should follow, a backup would accept channels.
+            self._leave_out(CHANNELS_PART, "[vrrp] decides when it listens, and cannot be used")
+            return self.in_force.channels
+        return address
 
 
 def _parse_enabled_table(
--- a/linnetshift/lifecycle/channels_activation.py
+++ b/linnetshift/lifecycle/channels_activation.py
@@ -9,6 +9,7 @@
 from linnetshift.broker.broker import Broker
 from linnetshift.event_loop.address import Address, format_address, is_bound_to
 from linnetshift.event_loop.loop import Loop
+from linnetshift.event_loop.timers import S
 from linnetshift.frontends.channels.frontend import ChannelsFrontend
 from linnetshift.lifecycle.bind_retry import BindRetry
 from linnetshift.lifecycle.graceful_shutdown import ChannelMigrator
@@ -21,6 +22,10 @@
 CHANNELS_SOCKET = "channels"
 VRRP_SOCKET = "vrrp"
 
+# How long a start may wait for an address before it counts as ready without: a predecessor that hangs is
+# killed after the longest deadline and 0.7 s.
+START_GRACE_NS = 4 * S
+
 
 class PredecessorChannels(NamedTuple):
     """What the predecessor told of its channels frontend."""
@@ -56,7 +61,8 @@
         self.vrrp_config: VrrpConfig | None = None
         self.vrrp: Vrrp | None = None  # None also while its socket cannot be bound
         self.bind_failure = ""  # address and cause of the last one
-        self.bind_retry = BindRetry(loop)  # to start VRRP or, without VRRP, to listen
+        self.bind_retry = BindRetry(loop)  # to start VRRP, or to listen
+        self.starting_until_ns = loop.now() + START_GRACE_NS
 
     def start(self, vrrp: VrrpConfig | None, predecessor: PredecessorChannels | None) -> None:
         """Listen, or start VRRP, as the active router if the predecessor was.
@@ -112,6 +118,7 @@
         While the address cannot be bound, a former listener stays open and the attempt is repeated. A backup
         router listens once it becomes active.
         """
+        self.starting_until_ns = 0
         is_changed = address != self.address
         self.address = address
         if address is None and self.frontend.address is not None:
@@ -211,9 +218,12 @@
         """Why this proxy can't accept channels, or take part in VRRP, although it should; empty otherwise."""
         return f"cannot bind {self.bind_failure}" if self.is_retrying else ""
 
-    def not_routing_reason(self) -> str:
-        """Why this proxy can't take the role of the active VRRP router; empty where it can, or has none."""
-        return self.not_listening_reason() if self.vrrp_config is not None and not self.is_vrrp_active else ""
+    def not_ready_reason(self) -> str:
+        """Why this proxy must not replace another yet; empty once START_GRACE_NS is over, or after a reload.
+
+        The addresses are the operator's, and must not keep a proxy from serving the platform's clients.
+        """
+        return self.not_listening_reason() if self.loop.now() < self.starting_until_ns else ""
 
     def _handle_vrrp_failure(self, config: VrrpConfig, error: OSError) -> None:
         address = format_address(config.listen)
--- a/linnetshift/proxy.py
+++ b/linnetshift/proxy.py
@@ -246,7 +246,11 @@
             return "waiting for the list of providers"
         if self.frontend.address is None:
             return "not listening"
-        return self.activation.not_routing_reason()
+        return self.activation.not_ready_reason()
+
+    def limitation(self) -> str:
+        """What is not served although clients are accepted; empty if all is."""
+        return self.activation.not_listening_reason()
 
     def configuration_status(self) -> dict[str, object]:
         """What of the configuration files is not in force, as an object for JSON."""
--- a/tests/test_admin_routes.py
+++ b/tests/test_admin_routes.py
@@ -14,6 +14,7 @@
     """Ready while `reason` is empty; draining the endpoint `full` would exceed the drain limit."""
 
     reason = ""
+    limited_by = ""
 
     def not_ready_reason(self) -> str:
         return self.reason
@@ -21,6 +22,9 @@
     def resource_usage(self) -> dict[str, ResourceUsage]:
         return {"loop.ready": ResourceUsage(1, 2)}
 
+    def limitation(self) -> str:
+        return self.limited_by
+
     def configuration_status(self) -> dict[str, object]:
         return {"unusable": []}
 
@@ -58,6 +62,13 @@
     assert dispatch(operations, AdminRequest("GET", "/ops/readiness")) == Response(503, "leaving")
 
 
+def test_readiness_of_a_proxy_that_does_not_serve_channels_says_so() -> None:
+    operations = FakeOperations()
+    operations.limited_by = "cannot bind 127.0.0.1:9: in use"
+    answer = Response(200, "taking consumers; cannot bind 127.0.0.1:9: in use")
+    assert dispatch(operations, AdminRequest("GET", "/ops/readiness")) == answer
+
+
 @pytest.mark.parametrize(
     ("is_drained", "is_known", "answer"),
     [
--- a/tests/test_broker_parts.py
+++ b/tests/test_broker_parts.py
@@ -7,7 +7,15 @@
 from fake_ports import FakePorts
 
 from linnetshift.broker.active_request import DETACHED_CLIENT
-from linnetshift.broker.contracts import Contract, Contracts
+from linnetshift.broker.contracts import (
+    PROHIBITED_RETRY_AFTER_NS,
+    Contract,
+    ContractList,
+    Contracts,
+    ContractTerms,
+    Limit,
+    RateLimit,
+)
 from linnetshift.broker.endpoint_views import EndpointViews
 from linnetshift.broker.event_inbox import EventInbox
 from linnetshift.broker.latency_estimator import LatencyEstimator
@@ -123,6 +131,32 @@
     assert later.admit(2, 0, 0, 1 * S) is None
 
 
+@pytest.mark.parametrize("services", [frozenset(), frozenset({"gone"})])
+def test_contract_on_names_that_are_not_there_allows_nothing(services: frozenset[str]) -> None:
+    """Guards against a contract that applies to all classes, since its own is not listed."""
+    terms = ContractTerms("acme", services=services)
+    classes = Settings.parse(raw_settings()).classes
+    contracts = Contracts.of(ContractList((terms,)), {"acme": 0}, classes)
+    exceeded_limit = contracts.admit(0, 0, 0, 0)
+    assert exceeded_limit is not None
+    assert exceeded_limit.limit == "service"
+
+
+def test_contract_of_an_unlisted_team_keeps_its_tokens_until_the_team_is_listed() -> None:
+    """Guards against a rate limit that starts full each time a name returns."""
+    terms = ContractList((ContractTerms("acme", rate=RateLimit(1.0, 2.0)),))
+    first = Contracts.of(terms, {"acme": 0}, ())
+    assert first.admit(0, 0, 0, 1 * S) is None
+    unlisted = Contracts.of(terms, {}, ())
+    unlisted.teams = {}
+    unlisted.unlisted_teams["acme"].carry_over(first.teams[0])
+    assert unlisted.admit(0, 0, 0, 1 * S) == (Limit.TEAM, PROHIBITED_RETRY_AFTER_NS)
+    listed = Contracts.of(terms, {"acme": 3}, ())
+    listed.carry_over(unlisted, {})
+    assert listed.admit(3, 0, 0, 1 * S) is None
+    assert listed.admit(3, 0, 0, 1 * S) is not None
+
+
 @pytest.mark.parametrize("answer", ["reject", "fail", "overdue"])
 def test_final_answer_releases_the_request_and_its_client(answer: str) -> None:
     ports = FakePorts()
