--- a/linnetshift/discovery/endpoint_list.py
+++ b/linnetshift/discovery/endpoint_list.py
@@ -9,7 +9,22 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from msgspec import UNSET
+
 from linnetshift.config.names import UNKNOWN_NUMBER, NameRegistry
+from linnetshift.discovery.list_document import (
+    ADDRESS_KEY,
+    CELL_KEY,
+    ENDPOINT_ID_KEY,
+    KIND_KEY,
+    STARTED_MS_KEY,
+    STATE_KEY,
+    WEIGHT_KEY,
+    ZONE_KEY,
+    EntryDocument,
+    ListDocument,
+    convert_list,
+)
 from linnetshift.event_loop.address import Address, parse_address
 from linnetshift.event_loop.timers import MS
 from linnetshift.observability import log
@@ -17,21 +32,6 @@
 from linnetshift.routing.events import EndpointEntry, EndpointList, EndpointState, ListForm
 from linnetshift.util.figures import check_figure
 
-# Keys of the list on the wire.
-TARGETS_KEY = "targets"
-VERSION_KEY = "rev"
-IS_FULL_KEY = "all"
-
-# Keys of one entry on the wire.
-ENDPOINT_ID_KEY = "uid"
-ADDRESS_KEY = "endpoint"
-ZONE_KEY = "az"
-KIND_KEY = "model"
-CELL_KEY = "pod_group"
-STATE_KEY = "state"
-WEIGHT_KEY = "capacity_hint"
-STARTED_MS_KEY = "boot_ms"
-
 STATES_BY_WIRE_NAME = {
     "SERVING": EndpointState.READY,
     "DRAINING": EndpointState.DRAINING,
@@ -72,22 +72,21 @@
 
 
 def parse_endpoint_list(document: Any, names: NameRegistry, is_cached: bool = False) -> EndpointListUpdate:
-    """Parse a list as decoded from JSON; `is_cached`: it comes from a file and may be old.
+    """Parse a list as decoded; `is_cached`: it comes from a file and may be old.
 
     Raises EndpointListError if the document has no list of entries or no valid version. Invalid entries are
     logged. One that names an endpoint and does not list it as ready is used for its state only, any other is
     left out. A full list with invalid entries becomes a delta, as an endpoint that it does not name may be
     one that could not be parsed: see `EndpointListUpdate.with_removals`.
     """
-    if not isinstance(document, dict) or not isinstance(document.get(TARGETS_KEY), list):
-        raise EndpointListError("no list of targets")
-    version = document.get(VERSION_KEY, 0 if is_cached else None)
+    listing = document if isinstance(document, ListDocument) else _convert(document)
+    version = 0 if is_cached and listing.version is UNSET else listing.version
     if not isinstance(version, int) or version < 0:
         raise EndpointListError("no version")
     entries = []
     addresses = {}
     errors = []
-    for target in document[TARGETS_KEY]:
+    for target in listing.entries:
         try:
             entry, address = _parse_entry(target, names)
         except ENTRY_ERRORS as error:
@@ -98,17 +97,24 @@
         addresses[entry.endpoint] = address
     if errors:
         log.info("endpoint-entries-invalid", count=len(errors), first=errors[0][:MAX_LOGGED_CHARS])
-    is_full = bool(document.get(IS_FULL_KEY)) and not errors
-    form = _list_form(is_cached, is_full)
-    named_endpoints = _named_endpoints(document[TARGETS_KEY]) if document.get(IS_FULL_KEY) else None
+    form = _list_form(is_cached, is_full=bool(listing.is_full) and not errors)
+    named_endpoints = _named_endpoints(listing.entries) if listing.is_full else None
     return EndpointListUpdate(
         EndpointList(form, version, tuple(entries)), addresses, len(errors), named_endpoints
     )
 
 
-def _named_endpoints(targets: list[Any]) -> frozenset[bytes] | None:
+def _convert(document: Any) -> ListDocument:
+    """Raise EndpointListError where the document is not an endpoint list."""
+    try:
+        return convert_list(document)
+    except ValueError as error:
+        raise EndpointListError(str(error)) from None
+
+
+def _named_endpoints(entries: list[Any]) -> frozenset[bytes] | None:
     """The endpoints that the entries name; None where an entry names none."""
-    ids = [target.get(ENDPOINT_ID_KEY) if isinstance(target, dict) else None for target in targets]
+    ids = [entry.endpoint_id if isinstance(entry, EntryDocument) else None for entry in entries]
     if not all(isinstance(endpoint_id, str) for endpoint_id in ids):
         return None
     return frozenset(str(endpoint_id).encode() for endpoint_id in ids)
@@ -121,23 +127,27 @@
     return ListForm.FULL if is_full else ListForm.DELTA
 
 
-def _parse_entry(target: dict[str, Any], names: NameRegistry) -> tuple[EndpointEntry, Address]:
+def _parse_entry(target: Any, names: NameRegistry) -> tuple[EndpointEntry, Address]:
     """One entry and its address; raises one of ENTRY_ERRORS if it is invalid.
 
     Zones and kinds that the configuration does not name become UNKNOWN_NUMBER. A negative figure, or one that
     is too large, makes the entry invalid, so that the former one stays.
     """
-    weight = float(target.get(WEIGHT_KEY, DEFAULT_WEIGHT))
+    if not isinstance(target, EntryDocument):
+        raise TypeError("an entry is no object")
+    if target.endpoint_id is UNSET:
+        raise KeyError(ENDPOINT_ID_KEY)
+    weight = DEFAULT_WEIGHT if target.weight is UNSET else float(target.weight)
     entry = EndpointEntry(
-        endpoint=str(target[ENDPOINT_ID_KEY]).encode(),
-        zone=names.zones.get(str(target.get(ZONE_KEY)), UNKNOWN_NUMBER),
-        kind=names.kinds.get(str(target.get(KIND_KEY)), UNKNOWN_NUMBER),
-        cell=int(check_figure(int(target.get(CELL_KEY) or 0))),
-        state=STATES_BY_WIRE_NAME[target[STATE_KEY]],
+        endpoint=str(target.endpoint_id).encode(),
+        zone=names.zones.get(str(target.zone), UNKNOWN_NUMBER),
+        kind=names.kinds.get(str(target.kind), UNKNOWN_NUMBER),
+        cell=int(check_figure(int(target.cell or 0))),
+        state=STATES_BY_WIRE_NAME[target.state],
         weight=check_figure(weight) if math.isfinite(weight) else DEFAULT_WEIGHT,
-        started_ns=int(check_figure(int(target.get(STARTED_MS_KEY) or 0) * MS)),
+        started_ns=int(check_figure(int(target.started_ms or 0) * MS)),
     )
-    return entry, parse_address(target[ADDRESS_KEY])
+    return entry, parse_address(target.address)
 
 
 def _parse_unavailable(target: Any) -> list[EndpointEntry]:
@@ -146,13 +156,12 @@
     An endpoint whose state cannot be read is not known to be ready, and counts as draining. Empty where the
     entry names no endpoint, or lists it as ready.
     """
-    if not isinstance(target, dict) or not isinstance(target.get(ENDPOINT_ID_KEY), str):
+    if not isinstance(target, EntryDocument) or not isinstance(target.endpoint_id, str):
         return []
-    wire_state = target.get(STATE_KEY)
-    state = STATES_BY_WIRE_NAME.get(wire_state) if isinstance(wire_state, str) else None
+    state = STATES_BY_WIRE_NAME.get(target.state) if isinstance(target.state, str) else None
     if state == EndpointState.READY:
         return []
-    return [_state_only_entry(target[ENDPOINT_ID_KEY].encode(), state or EndpointState.DRAINING)]
+    return [_state_only_entry(target.endpoint_id.encode(), state or EndpointState.DRAINING)]
 
 
 def _state_only_entry(endpoint: bytes, state: EndpointState) -> EndpointEntry:
--- a/linnetshift/discovery/http_call.py
+++ b/linnetshift/discovery/http_call.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 import select
 from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import h11
 
+from linnetshift.discovery.list_document import MAX_DOCUMENT_BYTES, ListDocument, decode_list
 from linnetshift.event_loop.actor import Actor, ActorCoroutine, Io
 from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.connection_limits import ConnectionTimer
@@ -23,12 +23,10 @@
 # that is going to fail is open until then. Connecting, the wait for a change and the answer of the next call
 # together take well under 6 s, and so does each back-off.
 CONNECT_TIMEOUT_NS = 1 * S
-# Enough for thousands of endpoints. A parsed list takes about ten times as much memory.
-MAX_BODY_BYTES = 1 << 20
 
 UNREACHABLE = "unreachable"  # the logged error of a call that could not connect
 
-# What a call that gets no usable answer raises. The log shows the names of these types.
+# What a call that gets no list raises. The log shows the names of these types.
 CALL_ERRORS = (h11.RemoteProtocolError, ValueError, ConnectionError, TimeoutError)
 
 
@@ -36,7 +34,7 @@
     """A call is over; posted to the actor that started it."""
 
     call: DiscoveryCall
-    document: Any  # as decoded from JSON; None where the call failed
+    document: ListDocument | None  # None where the call failed
     has_timed_out: bool = False  # the call failed because no answer came in time
     elapsed_ns: int = 0
 
@@ -86,7 +84,7 @@
         self.discovery.post(CallEnded(self, None))
 
     def _exchange(self) -> Steps:
-        """The document decoded from the response; raises one of CALL_ERRORS."""
+        """The list decoded from the response; raises one of CALL_ERRORS."""
         stream = self.stream
         assert stream is not None
         http = h11.Connection(h11.CLIENT)
@@ -97,12 +95,13 @@
             match event:
                 case h11.Response() if event.status_code != HTTPStatus.OK:
                     raise ConnectionError(f"status {event.status_code}")
+                case h11.Response():
+                    _check_length(_declared_length(event))
                 case h11.Data():
                     body += event.data
-                    if len(body) > MAX_BODY_BYTES:
-                        raise ValueError(f"response body longer than {MAX_BODY_BYTES} bytes")
+                    _check_length(len(body))
                 case h11.EndOfMessage():
-                    return json.loads(body)
+                    return decode_list(body)
                 case h11.NEED_DATA:
                     yield from self._receive(http, stream)
 
@@ -127,3 +126,14 @@
                     http.receive_data(b"")
             case Timeout(tag=ConnectionTimer.ANSWER):
                 raise TimeoutError(f"no complete response within {self.timeout_ns // MS} ms")
+
+
+def _declared_length(response: h11.Response) -> int:
+    """The length of the body as its header declares it, which h11 has checked; 0 without one."""
+    return next((int(value) for name, value in response.headers if name == b"content-length"), 0)
+
+
+def _check_length(length: int) -> None:
+    """Raise ValueError for a body that is too long, before it is received where its length is declared."""
+    if length > MAX_DOCUMENT_BYTES:
+        raise ValueError(f"response body longer than {MAX_DOCUMENT_BYTES} bytes")
