Discovery: a whole list that cannot be used is not asked for again at full speed

Cause: at an address that had not answered yet the watch asked for the whole list only, whatever became of the answer, and a list with an invalid entry was fetched again every 2 s. Nothing knew what such lists cost.

Meanwhile the watch goes on by changes from the version in use at the present address. Changes do not renew the list's lease. A list held back as older or empty counts towards its confirmation from such a fetch, too. One event, endpoint-list-unusable, and GET /ops/discovery with the counts.

--- a/bench/list_cost.py
+++ b/bench/list_cost.py
@@ -2,8 +2,8 @@
 
     python bench/list_cost.py [--rounds N]
 
-Prints a row for each size and form. The time is the fastest of the rounds; memory is what Python allocates while
-the body is decoded and parsed, without the body itself.
+Prints a row for each size and form. The time is the fastest of the rounds; memory is what Python allocates
+while the body is decoded and parsed, without the body itself.
 """
 
 from __future__ import annotations
--- a/linnetshift/admin/operations.py
+++ b/linnetshift/admin/operations.py
@@ -23,6 +23,9 @@
     def configuration_status(self) -> dict[str, object]:
         """What of the configuration files is not in force at the moment, as an object for JSON."""
 
+    def discovery_status(self) -> dict[str, object]:
+        """How current the endpoint list is, and what unusable lists have cost, as an object for JSON."""
+
     def is_drain_limit_reached(self, endpoint: bytes) -> bool:
         """Whether too many endpoints are drained for this one to be drained too."""
 
--- a/linnetshift/admin/routes.py
+++ b/linnetshift/admin/routes.py
@@ -16,6 +16,7 @@
 READINESS_PATH = "/ops/readiness"
 RESOURCE_USAGE_PATH = "/ops/census"
 CONFIGURATION_PATH = "/ops/configuration"
+DISCOVERY_PATH = "/ops/discovery"
 DRAIN_PATH = "/ops/servers/down"
 RESTORE_PATH = "/ops/servers/up"
 ENDPOINT_PARAMETER = "id"
@@ -93,6 +94,11 @@
     return Response(HTTPStatus.OK, json.dumps(operations.configuration_status(), indent=1))
 
 
+def show_discovery_status(operations: Operations, _query: str) -> Response:
+    """How current the endpoint list is, and what unusable lists have cost, as JSON."""
+    return Response(HTTPStatus.OK, json.dumps(operations.discovery_status(), indent=1))
+
+
 def drain_endpoint(operations: Operations, query: str) -> Response | DrainChange:
     """Drain the endpoint in the query; 507 if too many are drained already."""
     change = parse_drain_change(query, is_drained=True)
@@ -118,6 +124,7 @@
     READINESS_PATH: Route(("GET", "HEAD"), check_readiness),
     RESOURCE_USAGE_PATH: Route(("GET", "HEAD"), show_resource_usage),
     CONFIGURATION_PATH: Route(("GET", "HEAD"), show_configuration_status),
+    DISCOVERY_PATH: Route(("GET", "HEAD"), show_discovery_status),
     DRAIN_PATH: Route(("PUT",), drain_endpoint),
     RESTORE_PATH: Route(("PUT",), restore_endpoint),
 }
--- a/linnetshift/discovery/http_call.py
+++ b/linnetshift/discovery/http_call.py
@@ -37,6 +37,7 @@
     document: ListDocument | None  # None where the call failed
     has_timed_out: bool = False  # the call failed because no answer came in time
     elapsed_ns: int = 0
+    body_bytes: int = 0  # of a response with status 200: received, or declared if that is more
 
 
 class DiscoveryCall(OutboundConnection):
@@ -49,6 +50,7 @@
         self.path = path
         self.timeout_ns = timeout_ns
         self.discovery = discovery
+        self.body_bytes = 0
 
     def run(self) -> ActorCoroutine:
         """Connect, send the request, receive the response, and report the end of the call."""
@@ -77,7 +79,7 @@
                 ms=elapsed_ns // MS,
             )
         has_timed_out = document is None and ended_at_ns >= deadline_ns
-        self.discovery.post(CallEnded(self, document, has_timed_out, elapsed_ns))
+        self.discovery.post(CallEnded(self, document, has_timed_out, elapsed_ns, self.body_bytes))
 
     def report_failure(self) -> None:
         """Report the call as failed after a fault in it."""
@@ -96,9 +98,11 @@
                 case h11.Response() if event.status_code != HTTPStatus.OK:
                     raise ConnectionError(f"status {event.status_code}")
                 case h11.Response():
-                    _check_length(_declared_length(event))
+                    self.body_bytes = _declared_length(event)
+                    _check_length(self.body_bytes)
                 case h11.Data():
                     body += event.data
+                    self.body_bytes = max(self.body_bytes, len(body))
                     _check_length(len(body))
                 case h11.EndOfMessage():
                     return decode_list(body)
--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -16,6 +16,7 @@
 from linnetshift.discovery.http_call import CallEnded, DiscoveryCall
 from linnetshift.discovery.list_lease import ListLease
 from linnetshift.discovery.stale_list import StaleListFilter
+from linnetshift.discovery.unusable_lists import UnusableListBudget
 from linnetshift.discovery.watch_timeouts import WatchTimeouts
 from linnetshift.event_loop.actor import Actor, ActorCoroutine
 from linnetshift.event_loop.address import Address
@@ -46,6 +47,8 @@
 # first is short, as this process counts as notified of what it could not use; later ones are longer.
 FIRST_REFETCH_DELAY_NS = 250 * MS
 REFETCH_DELAY_NS = 2 * S
+# How often the first delay is quadrupled at most, before a watch is opened again after unusable answers.
+MAX_BACKOFF_QUADRUPLINGS = 4
 
 
 class WatchTimer(Enum):
@@ -72,6 +75,22 @@
     timeouts: WatchTimeouts
 
 
+class DiscoveryStatus(NamedTuple):
+    """How current the list in use is, and what lists that could not be used have cost."""
+
+    version: int
+    age_ms: int  # since discovery last confirmed the list
+    needs_full_list: bool  # the present address has not answered with a usable one yet
+    unusable_lists: int
+    unusable_bytes: int
+    full_list_wait_ms: int  # until the full list may be requested again
+
+
+def _is_for_full_list(call: DiscoveryCall) -> bool:
+    """Whether the call requests the full list rather than changes."""
+    return call.path == LIST_PATH
+
+
 class Discovery(Actor):
     """Keeps a watch open while the balancer requests one, and reports lists, changes and failures.
 
@@ -105,7 +124,11 @@
         self.lease = lease or ListLease(loop.now())
         self.random = random.Random(seed)
         self.stale_list_filter = StaleListFilter(initial_list.event)
-        self.needs_full_list = False  # the address is new and has not answered yet
+        self.needs_full_list = False  # the address is new and has not answered with a usable one yet
+        self.is_watching_changes_only = False  # while one is needed: it is fetched beside the watch
+        self.unusable_lists = UnusableListBudget()
+        self.unusable_in_a_row = 0  # answers to watches for changes
+        self.watch_allowed_at_ns = 0
         self.consecutive_failures = 0  # of the watch; an unusable answer counts as one
         self.last_watch_failed = False
         self.is_refetch_scheduled = False
@@ -119,6 +142,18 @@
         """Version of the list in use."""
         return self.stale_list_filter.version
 
+    def status(self) -> DiscoveryStatus:
+        """Return the status that the admin interface shows."""
+        now = self.loop.now()
+        return DiscoveryStatus(
+            self.version,
+            self.lease.age_ns(now) // MS,
+            self.needs_full_list,
+            self.unusable_lists.count,
+            self.unusable_lists.total_bytes,
+            self.unusable_lists.wait_ns(now) // MS,
+        )
+
     # ---- called by other parts --------------------------------------------------------------
 
     def reconfigure(self, address: Address, timeouts: WatchTimeouts) -> None:
@@ -173,9 +208,12 @@
         self.lease.handle_reload(self.loop.now())
         if self.watch_call is not None:
             self._add_secondary_call(self.watch_call)
+        self.watch_allowed_at_ns = 0
+        self.unusable_in_a_row = 0
         if address != self.address:
             self.address = address
             self.needs_full_list = True
+            self.is_watching_changes_only = False
         self._open_watch()
 
     def _add_secondary_call(self, call: DiscoveryCall) -> None:
@@ -199,10 +237,14 @@
 
         It must follow the last answer at once: after 200 ms discovery treats the call as a new watch.
         """
+        wait_ns = self.watch_allowed_at_ns - self.loop.now()
+        if wait_ns > 0:
+            self.set_timer(wait_ns, WatchTimer.REOPEN)
+            return
         # A shared discovery queues calls, and also serves those that were given up. With a constant timeout,
         # such calls would keep it overloaded, and every call might be given up before its turn.
         doublings = 0 if self.timeouts.is_pushed else min(self.consecutive_failures, MAX_TIMEOUT_DOUBLINGS)
-        if self.needs_full_list:
+        if self.needs_full_list and not self.is_watching_changes_only:
             timeout_ns = min(self.timeouts.full_list_timeout_ns << doublings, MAX_FULL_LIST_TIMEOUT_NS)
             self.watch_call = self._call(LIST_PATH, timeout_ns)
             return
@@ -234,13 +276,52 @@
             return  # a watch that was stopped
         list_update = self._parse(ended.document)
         if list_update is not None and self._is_usable(list_update, call, is_watch):
-            if call.address == self.address:
-                self.lease.renew(self.loop.now())
-            self._accept(list_update)
-            if is_watch:
-                self._handle_watch_answered()
+            self._handle_usable_list(list_update, ended, is_watch)
+            return
+        if ended.body_bytes:
+            self._handle_unusable_list(ended)
+        if is_watch and self.needs_full_list and self.is_watching_changes_only and _is_for_full_list(call):
+            self._open_watch()  # discovery answers, and tells changes meanwhile
         elif is_watch:
             self._handle_watch_failed(ended)
+        if self.is_watching_changes_only:
+            self._schedule_refetch()
+
+    def _handle_usable_list(self, list_update: EndpointListUpdate, ended: CallEnded, is_watch: bool) -> None:
+        """Apply a list; a full one from the present address confirms the list in use."""
+        is_full = _is_for_full_list(ended.call) or list_update.named_endpoints is not None
+        if ended.call.address == self.address:
+            if is_full:
+                self.needs_full_list = False
+                self.is_watching_changes_only = False
+            if not self.needs_full_list:
+                self.lease.renew(self.loop.now())
+        if list_update.invalid_entry_count:
+            self.unusable_lists.charge(ended.body_bytes, len(self.stale_list_filter.listed), self.loop.now())
+        self._accept(list_update)
+        if is_watch:
+            self._handle_watch_answered()
+
+    def _handle_unusable_list(self, ended: CallEnded) -> None:
+        """Count what the answer cost, and request no list at full speed that is unusable again."""
+        now = self.loop.now()
+        self.unusable_lists.charge(ended.body_bytes, len(self.stale_list_filter.listed), now)
+        wait_ns = self.unusable_lists.wait_ns(now)
+        log.info(
+            "endpoint-list-unusable",
+            path=ended.call.path,
+            bytes=ended.body_bytes,
+            wait_ms=wait_ns // MS,
+        )
+        if ended.call.address != self.address:
+            return
+        if not _is_for_full_list(ended.call):
+            # A single one may be a fault of the moment: nobody else tells of changes.
+            backoff_ns = FIRST_REFETCH_DELAY_NS << (2 * min(self.unusable_in_a_row, MAX_BACKOFF_QUADRUPLINGS))
+            self.watch_allowed_at_ns = now + min(wait_ns, backoff_ns)
+            self.unusable_in_a_row += 1
+        elif self.needs_full_list:
+            self.is_watching_changes_only = True
 
     def _parse(self, document: Any) -> EndpointListUpdate | None:
         """The list in an answer; None where the call failed or the answer is not a valid list."""
@@ -257,7 +338,8 @@
         try:
             if call.address != self.address:
                 self._check_is_newer(list_update.event)
-            self.stale_list_filter.check(list_update.event, is_watch, self.loop.now())
+            is_refetch = self.needs_full_list and call.address == self.address and _is_for_full_list(call)
+            self.stale_list_filter.check(list_update.event, is_watch or is_refetch, self.loop.now())
         except EndpointListError as error:
             log.info("discovery-response-ignored", error=str(error)[:MAX_LOGGED_CHARS])
             if call.address == self.address:
@@ -296,16 +378,19 @@
         if self.is_refetch_scheduled:
             return
         self.is_refetch_scheduled = True
-        self.set_timer(REFETCH_DELAY_NS if self.refetches else FIRST_REFETCH_DELAY_NS, WatchTimer.REFETCH)
+        delay_ns = REFETCH_DELAY_NS if self.refetches else FIRST_REFETCH_DELAY_NS
+        delay_ns = max(delay_ns, self.unusable_lists.wait_ns(self.loop.now()))
+        self.set_timer(delay_ns, WatchTimer.REFETCH)
         self.refetches += 1
 
     def _handle_watch_answered(self) -> None:
         """Open the next watch."""
-        self.needs_full_list = False
         self.last_watch_failed = False
         self.consecutive_failures = 0
+        self.unusable_in_a_row = 0
         self._open_watch()
-        self.lease.extend(self.loop.now(), self.watch_wait_ns)
+        if not self.needs_full_list:
+            self.lease.extend(self.loop.now(), self.watch_wait_ns)
 
     def _handle_watch_failed(self, ended: CallEnded) -> None:
         """Reopen the watch, or notify the balancer, which decides when to reopen it."""
--- a/linnetshift/proxy.py
+++ b/linnetshift/proxy.py
@@ -256,6 +256,10 @@
         """What of the configuration files is not in force, as an object for JSON."""
         return self.reloader.status().to_json()
 
+    def discovery_status(self) -> dict[str, object]:
+        """How current the endpoint list is, and what unusable lists have cost, as an object for JSON."""
+        return self.discovery.status()._asdict()
+
     def resource_usage(self) -> dict[str, ResourceUsage]:
         """Size and bound of every container that lives as long as the process, as in docs/memory.md."""
         connections = self.connection_limiter.max_descriptors + MAX_OPEN_CHANNELS
--- a/tests/test_admin_routes.py
+++ b/tests/test_admin_routes.py
@@ -28,6 +28,9 @@
     def configuration_status(self) -> dict[str, object]:
         return {"unusable": []}
 
+    def discovery_status(self) -> dict[str, object]:
+        return {"version": 7}
+
     def is_drain_limit_reached(self, endpoint: bytes) -> bool:
         return endpoint == b"full"
 
@@ -43,6 +46,7 @@
         ("GET", "/ops/readiness", Response(200, "taking consumers")),
         ("GET", "/ops/census", Response(200, '{\n "loop.ready": {\n  "size": 1,\n  "bound": 2\n }\n}')),
         ("GET", "/ops/configuration", Response(200, '{\n "unusable": []\n}')),
+        ("GET", "/ops/discovery", Response(200, '{\n "version": 7\n}')),
         ("GET", "/ops/other", Response(404, "no such call")),
         ("PUT", "/ops/readiness", Response(405, "use GET", (("Allow", "GET, HEAD"),))),
         ("PUT", "/ops/servers/down", Response(400, "give one id, as in ?id=ID")),
