Hot restart: no drain is confirmed for both processes before the other one has it

What an operator saw, by reading and by the test: from the 257th drain on that the other process had not confirmed yet, the call was answered with yes at once, and the other process, which may still send, was not told at all.

Cause: the bound of unconfirmed drains was met by confirming. A fleet of 3,200 endpoints reaches it.

Change: the bound is a drain and a restore for each of the 4,096 endpoints that can be drained; beyond it the drain is sent and its call not confirmed, so the operator is told to repeat it.

--- a/linnetshift/lifecycle/peer_process.py
+++ b/linnetshift/lifecycle/peer_process.py
@@ -10,6 +10,7 @@
 from itertools import count
 from typing import Any, NamedTuple, Protocol
 
+from linnetshift.broker.administrative_drains import MAX_DRAINED
 from linnetshift.event_loop.actor import ActorCoroutine, Io
 from linnetshift.event_loop.connection_limits import ConnectionTimer, StallDetector
 from linnetshift.event_loop.loop import Loop
@@ -36,8 +37,8 @@
 HEARTBEAT_INTERVAL_NS = 500 * MS
 # Bound of the bytes received without a line end; a heartbeat lists every endpoint and stays below this.
 MAX_MESSAGE_BYTES = 1 << 20
-# Drains not confirmed by the other process; a process that hangs is soon disconnected, see `StallDetector`.
-MAX_UNCONFIRMED_DRAINS = 256
+# Drains not confirmed by the other process: one and its restore for each endpoint that can be drained.
+MAX_UNCONFIRMED_DRAINS = 2 * MAX_DRAINED
 
 
 # How long a process that is asked to exchange messages again may take to answer. It exceeds HELLO_TIMEOUT_NS,
@@ -179,15 +180,18 @@
     def apply_administrative_drain(
         self, endpoint: bytes, is_drained: bool, on_applied: Callable[[], None]
     ) -> None:
-        """Have the other process apply the drain; `on_applied` is called once it has, or has exited."""
-        is_connected = self.coroutine is not None and self.has_exchanged_state
-        if not is_connected or len(self.unconfirmed_drains) >= MAX_UNCONFIRMED_DRAINS:
+        """Have the other process apply the drain; `on_applied` is called once it has, or has exited.
+
+        Beyond the bound it is never called: the operator is told to repeat the call.
+        """
+        if self.coroutine is None or not self.has_exchanged_state:
             # Nothing to wait for: a state requested later, by it or by the successor of one that hangs,
             # includes the drain.
             on_applied()
             return
         number = next(self.drain_numbers)
-        self.unconfirmed_drains[number] = UnconfirmedDrain(endpoint, is_drained, on_applied)
+        if len(self.unconfirmed_drains) < MAX_UNCONFIRMED_DRAINS:
+            self.unconfirmed_drains[number] = UnconfirmedDrain(endpoint, is_drained, on_applied)
         self.send(AdministrativeDrain(endpoint, is_drained, number))
 
     def take_unconfirmed_drains(self) -> list[UnconfirmedDrain]:
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -14,9 +14,10 @@
 import pytest
 from conftest import raw_settings
 from emulated_peers import DiscoveryServer
-from proxy_harness import started_proxy
+from proxy_harness import started_proxy, successor_of
 from running_proxy import ranked
 
+from linnetshift.broker.latency_estimator import ConnectionLoad
 from linnetshift.config.names import NameRegistry
 from linnetshift.discovery.endpoint_list import EndpointListError, parse_endpoint_list
 from linnetshift.discovery.list_document import (
@@ -25,11 +26,14 @@
     MAX_FLEET_ENDPOINTS,
     decode_list,
 )
+from linnetshift.lifecycle.peer_process import MAX_MESSAGE_BYTES
+from linnetshift.lifecycle.takeover_messages import Heartbeat, PeerResources, encode_message
 from linnetshift.routing.events import EndpointState, ListForm
 from linnetshift.routing.settings import Settings
 
 LONG_NAME = "n" * 64
 OTHER_KEYS = {f"other-key-{number:06}": 1.2345678901234567e-300 for number in range(12)}
+MAX_CLIENT_CONNECTIONS = 5000  # several times what a proxy's 1,024 descriptors allow
 MAX_TURN_S = 0.15  # how long a proxy may be held up (STANDING.md)
 MAX_MEMORY_BYTES_PER_ENDPOINT = 4096  # 4 MB for each thousand servers (STANDING.md)
 
@@ -90,6 +94,16 @@
     assert peak_bytes < MAX_FLEET_ENDPOINTS * MAX_MEMORY_BYTES_PER_ENDPOINT
 
 
+def test_heartbeat_of_a_proxy_with_the_most_connections_is_within_the_bound() -> None:
+    """Guards against a report that the other process of a hot restart cannot read."""
+    loads = {
+        f"s-{number:08x}".encode(): [ConnectionLoad(1.2345678901234567, 2**63, 0)]
+        for number in range(MAX_CLIENT_CONNECTIONS)
+    }
+    heartbeat = Heartbeat(PeerResources(MAX_CLIENT_CONNECTIONS, 0, loads))
+    assert len(encode_message(heartbeat)) <= MAX_MESSAGE_BYTES
+
+
 @pytest.mark.parametrize("weight", ["NaN", "Infinity", "1e999"])
 def test_number_that_is_not_finite_does_not_make_the_list_unreadable(weight: str) -> None:
     text = json.dumps({"rev": 1, "targets": [entry(1, capacity_hint=-1.5)]}).replace("-1.5", weight)
@@ -141,3 +155,25 @@
         endpoint = other.serve()
         assert client.line() == b"UP r1\r\n"
         endpoint.close()
+
+
+def test_list_of_the_largest_fleet_is_handed_over_in_a_hot_restart(tmp_path: Path) -> None:
+    """Guards against a successor that starts without its predecessor's list, as that is too long."""
+    with started_proxy(tmp_path, endpoints=2, admin_server=True, inherits_listener=True) as old:
+        best, other = ranked(old)
+        moved = LargeDiscovery(old.endpoints)
+        moved.rev += 1
+        old.reload("event=configuration-reloaded", discovery=moved.address)
+        old.logged("event=endpoint-list-received form=full .*entries=3202")
+        assert old.call(f"PUT /ops/servers/down?id={best.uid}") == 200
+        moved.fail(True)
+        with successor_of(old) as new:
+            assert any(
+                "endpoint-list-received" in line and "entries=3202" in line for line in new.passed_lines
+            )
+            new.wait_until_ready()
+            client = new.open()
+            assert new.next_attempted() is other
+            endpoint = other.serve()
+            assert client.line() == b"UP r1\r\n"
+            endpoint.close()
--- a/tests/test_peer_process.py
+++ b/tests/test_peer_process.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 from unittest.mock import Mock
 
@@ -136,6 +137,31 @@
     assert not any(usage.size for name, usage in source.resource_usage().items() if "unanswered" in name)
 
 
+def test_no_drain_is_confirmed_for_both_before_the_other_process_has_applied_it(pair: Pair) -> None:
+    # From the 257th on, drains were confirmed at once, though the other process had not been told of them.
+    done: list[int] = []
+    pair.run_until(lambda: pair.old.successor is not None)
+    endpoints = [b"s-%d" % number for number in range(400)]
+    for number, endpoint in enumerate(endpoints):
+        pair.new.apply_administrative_drain(endpoint, True, partial(done.append, number))
+    assert not done
+    pair.run_until(lambda: len(done) == len(endpoints))
+    assert pair.old_operations.drains == [(endpoint, True) for endpoint in endpoints]
+
+
+def test_drain_beyond_the_bound_is_sent_and_not_confirmed(
+    pair: Pair, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against claiming for both processes what only one has applied."""
+    monkeypatch.setattr(peer_process, "MAX_UNCONFIRMED_DRAINS", 1)
+    done: list[bytes] = []
+    pair.run_until(lambda: pair.old.successor is not None)
+    for endpoint in (b"s-0", b"s-1"):
+        pair.new.apply_administrative_drain(endpoint, True, partial(done.append, endpoint))
+    pair.run_until(lambda: len(pair.old_operations.drains) == 2 and done)
+    assert done == [b"s-0"]
+
+
 def end_new_process(pair: Pair, monkeypatch: pytest.MonkeyPatch) -> None:
     """End the new process as an exit does: it has no process descriptor and listens no more."""
     monkeypatch.setattr(os, "pidfd_open", Mock(side_effect=ProcessLookupError))
