Discovery: what is requested of the present address is decided in a class of its own

watch.py had grown by the handling of unusable lists. ListRequests holds whether the whole list is needed, whether the watch goes on by changes meanwhile, and when it may be opened; no behaviour of the commit before is changed but one: changes at an address whose whole list is held back (older, or empty) no longer restart the time after which it is used, which they would have done for ever. A list with lower versions is used after that time, as before the mend.

--- a/linnetshift/discovery/stale_list.py
+++ b/linnetshift/discovery/stale_list.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from linnetshift.discovery.endpoint_list import EndpointListError
 from linnetshift.event_loop.timers import S
 from linnetshift.routing.events import EndpointList, EndpointState, ListForm
@@ -10,6 +12,14 @@
 CONFIRMATION_NS = 30 * S
 
 
+class Confirmation(Enum):
+    """What the source of a list can prove about a list that contradicts the one in use."""
+
+    FOR_OR_AGAINST = "for or against"  # it is current
+    AGAINST = "against"  # it may just have arrived late: an older list proves nothing
+    NOTHING = "nothing"
+
+
 class StaleListFilter:
     """Holds back a list that is older than the one in use, and a full list that is suddenly empty.
 
@@ -25,20 +35,18 @@
         self.listed = {entry.endpoint for entry in initial_list.entries}
         self.contradicted_since_ns = 0  # 0: not contradicted
 
-    def check(self, event: EndpointList, is_from_watch: bool, now_ns: int) -> None:
-        """Raise EndpointListError if the list must not be used now.
-
-        Only answers to the watch count towards the confirmation: an older list from any other call may just
-        have arrived late.
-        """
+    def check(self, event: EndpointList, confirmation: Confirmation, now_ns: int) -> None:
+        """Raise EndpointListError if the list must not be used now."""
         is_older = event.version < self.version
         is_emptied = bool(self.listed) and event.form == ListForm.FULL and not event.entries
         if not is_older and not is_emptied:
-            self.contradicted_since_ns = 0
+            if confirmation is not Confirmation.NOTHING:
+                self.contradicted_since_ns = 0
             return
-        if is_from_watch:
+        may_confirm = confirmation is Confirmation.FOR_OR_AGAINST
+        if may_confirm:
             self.contradicted_since_ns = self.contradicted_since_ns or now_ns
-        if not is_from_watch or now_ns - self.contradicted_since_ns < CONFIRMATION_NS:
+        if not may_confirm or now_ns - self.contradicted_since_ns < CONFIRMATION_NS:
             raise EndpointListError(
                 f"version {event.version} after {self.version}" if is_older else "an empty list"
             )
--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -15,8 +15,8 @@
 )
 from linnetshift.discovery.http_call import CallEnded, DiscoveryCall
 from linnetshift.discovery.list_lease import ListLease
-from linnetshift.discovery.stale_list import StaleListFilter
-from linnetshift.discovery.unusable_lists import UnusableListBudget
+from linnetshift.discovery.list_requests import ListRequests
+from linnetshift.discovery.stale_list import Confirmation, StaleListFilter
 from linnetshift.discovery.watch_timeouts import WatchTimeouts
 from linnetshift.event_loop.actor import Actor, ActorCoroutine
 from linnetshift.event_loop.address import Address
@@ -47,8 +47,6 @@
 # first is short, as this process counts as notified of what it could not use; later ones are longer.
 FIRST_REFETCH_DELAY_NS = 250 * MS
 REFETCH_DELAY_NS = 2 * S
-# How often the first delay is quadrupled at most, before a watch is opened again after unusable answers.
-MAX_BACKOFF_QUADRUPLINGS = 4
 
 
 class WatchTimer(Enum):
@@ -124,11 +122,7 @@
         self.lease = lease or ListLease(loop.now())
         self.random = random.Random(seed)
         self.stale_list_filter = StaleListFilter(initial_list.event)
-        self.needs_full_list = False  # the address is new and has not answered with a usable one yet
-        self.is_watching_changes_only = False  # while one is needed: it is fetched beside the watch
-        self.unusable_lists = UnusableListBudget()
-        self.unusable_in_a_row = 0  # answers to watches for changes
-        self.watch_allowed_at_ns = 0
+        self.requests = ListRequests()
         self.consecutive_failures = 0  # of the watch; an unusable answer counts as one
         self.last_watch_failed = False
         self.is_refetch_scheduled = False
@@ -148,10 +142,10 @@
         return DiscoveryStatus(
             self.version,
             self.lease.age_ns(now) // MS,
-            self.needs_full_list,
-            self.unusable_lists.count,
-            self.unusable_lists.total_bytes,
-            self.unusable_lists.wait_ns(now) // MS,
+            self.requests.needs_full_list,
+            self.requests.budget.count,
+            self.requests.budget.total_bytes,
+            self.requests.budget.wait_ns(now) // MS,
         )
 
     # ---- called by other parts --------------------------------------------------------------
@@ -208,12 +202,8 @@
         self.lease.handle_reload(self.loop.now())
         if self.watch_call is not None:
             self._add_secondary_call(self.watch_call)
-        self.watch_allowed_at_ns = 0
-        self.unusable_in_a_row = 0
-        if address != self.address:
-            self.address = address
-            self.needs_full_list = True
-            self.is_watching_changes_only = False
+        self.requests.handle_reload(is_new_address=address != self.address)
+        self.address = address
         self._open_watch()
 
     def _add_secondary_call(self, call: DiscoveryCall) -> None:
@@ -237,14 +227,14 @@
 
         It must follow the last answer at once: after 200 ms discovery treats the call as a new watch.
         """
-        wait_ns = self.watch_allowed_at_ns - self.loop.now()
-        if wait_ns > 0:
+        wait_ns = self.requests.watch_wait_ns(self.loop.now())
+        if wait_ns:
             self.set_timer(wait_ns, WatchTimer.REOPEN)
             return
         # A shared discovery queues calls, and also serves those that were given up. With a constant timeout,
         # such calls would keep it overloaded, and every call might be given up before its turn.
         doublings = 0 if self.timeouts.is_pushed else min(self.consecutive_failures, MAX_TIMEOUT_DOUBLINGS)
-        if self.needs_full_list and not self.is_watching_changes_only:
+        if self.requests.is_full_list_next:
             timeout_ns = min(self.timeouts.full_list_timeout_ns << doublings, MAX_FULL_LIST_TIMEOUT_NS)
             self.watch_call = self._call(LIST_PATH, timeout_ns)
             return
@@ -278,13 +268,14 @@
         if list_update is not None and self._is_usable(list_update, call, is_watch):
             self._handle_usable_list(list_update, ended, is_watch)
             return
+        was_full_list_next = self.requests.is_full_list_next
         if ended.body_bytes:
             self._handle_unusable_list(ended)
-        if is_watch and self.needs_full_list and self.is_watching_changes_only and _is_for_full_list(call):
+        if is_watch and was_full_list_next and self.requests.is_watching_changes_only:
             self._open_watch()  # discovery answers, and tells changes meanwhile
         elif is_watch:
             self._handle_watch_failed(ended)
-        if self.is_watching_changes_only:
+        if self.requests.is_watching_changes_only:
             self._schedule_refetch()
 
     def _handle_usable_list(self, list_update: EndpointListUpdate, ended: CallEnded, is_watch: bool) -> None:
@@ -292,36 +283,36 @@
         is_full = _is_for_full_list(ended.call) or list_update.named_endpoints is not None
         if ended.call.address == self.address:
             if is_full:
-                self.needs_full_list = False
-                self.is_watching_changes_only = False
-            if not self.needs_full_list:
+                self.requests.handle_full_list_used()
+            if not self.requests.needs_full_list:
                 self.lease.renew(self.loop.now())
         if list_update.invalid_entry_count:
-            self.unusable_lists.charge(ended.body_bytes, len(self.stale_list_filter.listed), self.loop.now())
+            self._charge(ended)
         self._accept(list_update)
         if is_watch:
             self._handle_watch_answered()
 
     def _handle_unusable_list(self, ended: CallEnded) -> None:
         """Count what the answer cost, and request no list at full speed that is unusable again."""
+        self._charge(ended)
         now = self.loop.now()
-        self.unusable_lists.charge(ended.body_bytes, len(self.stale_list_filter.listed), now)
-        wait_ns = self.unusable_lists.wait_ns(now)
         log.info(
             "endpoint-list-unusable",
             path=ended.call.path,
             bytes=ended.body_bytes,
-            wait_ms=wait_ns // MS,
+            wait_ms=self.requests.budget.wait_ns(now) // MS,
         )
         if ended.call.address != self.address:
             return
-        if not _is_for_full_list(ended.call):
-            # A single one may be a fault of the moment: nobody else tells of changes.
-            backoff_ns = FIRST_REFETCH_DELAY_NS << (2 * min(self.unusable_in_a_row, MAX_BACKOFF_QUADRUPLINGS))
-            self.watch_allowed_at_ns = now + min(wait_ns, backoff_ns)
-            self.unusable_in_a_row += 1
-        elif self.needs_full_list:
-            self.is_watching_changes_only = True
+        if _is_for_full_list(ended.call):
+            self.requests.handle_unusable_full_list()
+        else:
+            self.requests.handle_unusable_changes(now)
+
+    def _charge(self, ended: CallEnded) -> None:
+        """Count what an answer cost that cannot be used, or not as a whole."""
+        endpoints = len(self.stale_list_filter.listed)
+        self.requests.budget.charge(ended.body_bytes, endpoints, self.loop.now())
 
     def _parse(self, document: Any) -> EndpointListUpdate | None:
         """The list in an answer; None where the call failed or the answer is not a valid list."""
@@ -338,8 +329,9 @@
         try:
             if call.address != self.address:
                 self._check_is_newer(list_update.event)
-            is_refetch = self.needs_full_list and call.address == self.address and _is_for_full_list(call)
-            self.stale_list_filter.check(list_update.event, is_watch or is_refetch, self.loop.now())
+            self.stale_list_filter.check(
+                list_update.event, self._confirmation(call, is_watch), self.loop.now()
+            )
         except EndpointListError as error:
             log.info("discovery-response-ignored", error=str(error)[:MAX_LOGGED_CHARS])
             if call.address == self.address:
@@ -347,6 +339,14 @@
             return False
         return True
 
+    def _confirmation(self, call: DiscoveryCall, is_watch: bool) -> Confirmation:
+        """What an answer to the call proves about a list that contradicts the one in use."""
+        if not self.requests.needs_full_list:
+            return Confirmation.FOR_OR_AGAINST if is_watch else Confirmation.AGAINST
+        # Changes at an address whose full list cannot be used contradict nothing, whatever that list is.
+        is_full = _is_for_full_list(call) and call.address == self.address
+        return Confirmation.FOR_OR_AGAINST if is_full else Confirmation.NOTHING
+
     def _apply_unavailable(self, list_update: EndpointListUpdate) -> None:
         """Apply the entries of a held-back list that are not ready, and fetch the list again."""
         unavailable = list_update.only_unavailable(self.version)
@@ -379,7 +379,7 @@
             return
         self.is_refetch_scheduled = True
         delay_ns = REFETCH_DELAY_NS if self.refetches else FIRST_REFETCH_DELAY_NS
-        delay_ns = max(delay_ns, self.unusable_lists.wait_ns(self.loop.now()))
+        delay_ns = max(delay_ns, self.requests.budget.wait_ns(self.loop.now()))
         self.set_timer(delay_ns, WatchTimer.REFETCH)
         self.refetches += 1
 
@@ -387,9 +387,9 @@
         """Open the next watch."""
         self.last_watch_failed = False
         self.consecutive_failures = 0
-        self.unusable_in_a_row = 0
+        self.requests.handle_changes_used()
         self._open_watch()
-        if not self.needs_full_list:
+        if not self.requests.needs_full_list:
             self.lease.extend(self.loop.now(), self.watch_wait_ns)
 
     def _handle_watch_failed(self, ended: CallEnded) -> None:
--- a/tests/test_unusable_lists.py
+++ b/tests/test_unusable_lists.py
@@ -16,7 +16,7 @@
 from conftest import S
 from connections import WAIT_S
 from emulated_peers import DiscoveryServer, EmulatedEndpoint
-from proxy_harness import started_proxy
+from proxy_harness import proxy_in_thread, started_proxy
 from running_proxy import RunningProxy, ranked
 
 from linnetshift.discovery.list_document import MAX_DOCUMENT_BYTES
@@ -66,6 +66,7 @@
 
     def __init__(self, endpoints: list[EmulatedEndpoint], full_list: str) -> None:
         self.full_list = full_list
+        self.filling = "x" * 40_000
         self.call = threading.local()  # each call has a thread
         super().__init__(endpoints)
 
@@ -78,8 +79,8 @@
         if self.full_list == "no-json":
             return json.dumps(listing).encode()[:-2] + b" " * 40_000
         if self.full_list == "empty":
-            return json.dumps({**listing, "targets": [], "fill": "x" * 40_000}).encode()
-        return json.dumps({**listing, "rev": 0, "fill": "x" * 40_000}).encode()
+            return json.dumps({**listing, "targets": [], "fill": self.filling}).encode()
+        return json.dumps({**listing, "rev": 0, "fill": self.filling}).encode()
 
     def wait_for_change(self, revision: int, timeout_s: float) -> bool:
         self.call.is_watch = True
@@ -171,3 +172,23 @@
         running.reload("event=configuration-reloaded", discovery=moved.address)
         running.logged("event=endpoint-entries-invalid count=1")
         assert full_list_calls(moved, OBSERVED_S) <= 3
+
+
+def test_older_full_list_is_used_once_it_has_been_confirmed_beside_the_watch(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a discovery with new version numbers that is never followed."""
+    monkeypatch.setattr("linnetshift.discovery.stale_list.CONFIRMATION_NS", 3 * S)
+    with proxy_in_thread(tmp_path) as running:
+        running.discovery.change()
+        while running.program.discovery.version < 2:
+            time.sleep(0.01)
+        moved = UnusableDiscovery(running.endpoints, "older")
+        moved.filling = ""
+        host, port = moved.address.split(":")
+        running.program.discovery.reconfigure((host, int(port)), running.program.discovery.timeouts)
+        until_s = time.monotonic() + WAIT_S
+        while running.program.discovery.version:
+            assert time.monotonic() < until_s
+            time.sleep(0.01)
+        assert not running.program.discovery.requests.needs_full_list
