Endpoint list: its document, entries and names lie in a package below configuration and discovery

config imported discovery upwards for the list in the proxy file, and discovery imported config for the register of names. Both are data, which configuration, discovery, frontends and lifecycle share: linnetshift/endpoint_list.

--- a/bench/list_cost.py
+++ b/bench/list_cost.py
@@ -17,9 +17,9 @@
 from rich.console import Console
 from rich.table import Table
 
-from linnetshift.config.names import NameRegistry
-from linnetshift.discovery.endpoint_list import parse_endpoint_list
-from linnetshift.discovery.list_document import MAX_ENTRIES, MAX_FLEET_ENDPOINTS, decode_list
+from linnetshift.endpoint_list.document import MAX_ENTRIES, MAX_FLEET_ENDPOINTS, decode_list
+from linnetshift.endpoint_list.names import NameRegistry
+from linnetshift.endpoint_list.parsing import parse_endpoint_list
 from linnetshift.routing.settings import Settings
 from rig.base_settings import changed_settings
 
--- a/linnetshift/config/proxy_file.py
+++ b/linnetshift/config/proxy_file.py
@@ -18,8 +18,8 @@
     UnreadableFileError,
 )
 from linnetshift.config.key_tree import KeyTree, NestingError, check_nesting, check_unique_names
-from linnetshift.config.names import NameRegistry
-from linnetshift.discovery.endpoint_list import EndpointListUpdate, parse_endpoint_list
+from linnetshift.endpoint_list.names import NameRegistry
+from linnetshift.endpoint_list.parsing import EndpointListUpdate, parse_endpoint_list
 from linnetshift.event_loop.address import Address, parse_address
 from linnetshift.routing.settings import Settings
 from linnetshift.routing.settings_reader import SettingsReader
--- a/linnetshift/discovery/http_call.py
+++ b/linnetshift/discovery/http_call.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from linnetshift.discovery.list_document import MAX_DOCUMENT_BYTES, ListDocument, decode_list
+from linnetshift.endpoint_list.document import MAX_DOCUMENT_BYTES, ListDocument, decode_list
 from linnetshift.event_loop.actor import Actor, ActorCoroutine, Io
 from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.connection_limits import ConnectionTimer
--- a/linnetshift/discovery/stale_list.py
+++ b/linnetshift/discovery/stale_list.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-from linnetshift.discovery.endpoint_list import EndpointListError
+from linnetshift.endpoint_list.parsing import EndpointListError
 from linnetshift.event_loop.timers import S
 from linnetshift.routing.events import EndpointList, EndpointState, ListForm
 
--- a/linnetshift/discovery/watch.py
+++ b/linnetshift/discovery/watch.py
@@ -7,17 +7,17 @@
 from enum import Enum
 from typing import Any, NamedTuple
 
-from linnetshift.config.names import NameRegistry
-from linnetshift.discovery.endpoint_list import (
-    EndpointListError,
-    EndpointListUpdate,
-    parse_endpoint_list,
-)
 from linnetshift.discovery.http_call import CallEnded, DiscoveryCall
 from linnetshift.discovery.list_lease import ListLease
 from linnetshift.discovery.list_requests import ListRequests
 from linnetshift.discovery.stale_list import Confirmation, StaleListFilter
 from linnetshift.discovery.watch_timeouts import WatchTimeouts
+from linnetshift.endpoint_list.names import NameRegistry
+from linnetshift.endpoint_list.parsing import (
+    EndpointListError,
+    EndpointListUpdate,
+    parse_endpoint_list,
+)
 from linnetshift.event_loop.actor import Actor, ActorCoroutine
 from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.loop import Loop
--- a/linnetshift/discovery/endpoint_list.py
+++ b/linnetshift/endpoint_list/parsing.py
@@ -11,8 +11,7 @@
 
 from msgspec import UNSET
 
-from linnetshift.config.names import UNKNOWN_NUMBER, NameRegistry
-from linnetshift.discovery.list_document import (
+from linnetshift.endpoint_list.document import (
     ADDRESS_KEY,
     CELL_KEY,
     ENDPOINT_ID_KEY,
@@ -25,6 +24,7 @@
     ListDocument,
     convert_list,
 )
+from linnetshift.endpoint_list.names import UNKNOWN_NUMBER, NameRegistry
 from linnetshift.event_loop.address import Address, parse_address
 from linnetshift.event_loop.timers import MS
 from linnetshift.observability import log
--- a/linnetshift/frontends/channels/channel_open.py
+++ b/linnetshift/frontends/channels/channel_open.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from linnetshift.broker.active_request import ActiveRequest
-from linnetshift.config.names import UNKNOWN_NUMBER
+from linnetshift.endpoint_list.names import UNKNOWN_NUMBER
 from linnetshift.event_loop.connection_limits import MAX_WAIT_MS
 from linnetshift.event_loop.timers import MS
 from linnetshift.frontends.channels.channel import Channel
--- a/linnetshift/frontends/channels/frontend.py
+++ b/linnetshift/frontends/channels/frontend.py
@@ -5,7 +5,7 @@
 import socket
 
 from linnetshift.broker.broker import Broker
-from linnetshift.config.names import NameRegistry
+from linnetshift.endpoint_list.names import NameRegistry
 from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.connection_limits import ConnectionLimiter
 from linnetshift.event_loop.loop import Loop
--- a/linnetshift/frontends/line_protocol/request_line.py
+++ b/linnetshift/frontends/line_protocol/request_line.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from linnetshift.config.names import UNKNOWN_NUMBER, NameRegistry
+from linnetshift.endpoint_list.names import UNKNOWN_NUMBER, NameRegistry
 from linnetshift.event_loop.connection_limits import MAX_WAIT_MS
 from linnetshift.event_loop.timers import MS
 from linnetshift.frontends.line_protocol import protocol
--- a/linnetshift/frontends/listener.py
+++ b/linnetshift/frontends/listener.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from linnetshift.broker.broker import Broker
-from linnetshift.config.names import NameRegistry
+from linnetshift.endpoint_list.names import NameRegistry
 from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.connection_limits import ConnectionLimiter
 from linnetshift.event_loop.loop import Loop
--- a/linnetshift/lifecycle/configuration_status.py
+++ b/linnetshift/lifecycle/configuration_status.py
@@ -8,7 +8,7 @@
 from linnetshift.broker.contracts import names_without_match
 from linnetshift.config.broker_file import BrokerFileReading
 from linnetshift.config.broker_parts import UnusablePart
-from linnetshift.config.names import NameRegistry
+from linnetshift.endpoint_list.names import NameRegistry
 from linnetshift.observability import log
 from linnetshift.observability.log import MAX_LOGGED_CHARS
 
--- a/linnetshift/lifecycle/imported_state.py
+++ b/linnetshift/lifecycle/imported_state.py
@@ -9,8 +9,8 @@
 
 from linnetshift.broker.broker import Broker
 from linnetshift.broker.snapshot import import_state
-from linnetshift.config.names import NameRegistry
-from linnetshift.discovery.endpoint_list import EndpointListUpdate, parse_endpoint_list
+from linnetshift.endpoint_list.names import NameRegistry
+from linnetshift.endpoint_list.parsing import EndpointListUpdate, parse_endpoint_list
 from linnetshift.lifecycle.channels_activation import PredecessorChannels
 from linnetshift.lifecycle.takeover_messages import (
     ADMINISTRATIVE_DRAINS_KEY,
--- a/linnetshift/lifecycle/local_process.py
+++ b/linnetshift/lifecycle/local_process.py
@@ -8,10 +8,10 @@
 
 from linnetshift.broker.broker import Broker
 from linnetshift.broker.snapshot import export_state
-from linnetshift.config.names import NameRegistry
 from linnetshift.decision_loop import DecisionLoop
-from linnetshift.discovery.endpoint_list import serialize_entry
 from linnetshift.discovery.watch import Discovery
+from linnetshift.endpoint_list.names import NameRegistry
+from linnetshift.endpoint_list.parsing import serialize_entry
 from linnetshift.event_loop.connection_limits import ConnectionLimiter
 from linnetshift.event_loop.loop import Loop
 from linnetshift.frontends.line_protocol.frontend import LineProtocolFrontend
--- a/linnetshift/lifecycle/reload.py
+++ b/linnetshift/lifecycle/reload.py
@@ -16,11 +16,11 @@
 from linnetshift.config.broker_file import BrokerFileReading
 from linnetshift.config.errors import ConfigurationError
 from linnetshift.config.loader import load_broker_file, load_proxy_file
-from linnetshift.config.names import DiscontinuedNames, NameRegistry
 from linnetshift.config.proxy_file import ProxyConfig
-from linnetshift.discovery.endpoint_list import EndpointListUpdate
 from linnetshift.discovery.watch import Discovery
 from linnetshift.discovery.watch_timeouts import WatchTimeouts
+from linnetshift.endpoint_list.names import DiscontinuedNames, NameRegistry
+from linnetshift.endpoint_list.parsing import EndpointListUpdate
 from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.loop import Loop
 from linnetshift.event_loop.timers import S
--- a/linnetshift/proxy.py
+++ b/linnetshift/proxy.py
@@ -15,10 +15,10 @@
 from linnetshift.config.broker_file import BrokerConfig, BrokerFileReading
 from linnetshift.config.proxy_file import ProxyConfig
 from linnetshift.decision_loop import DecisionLoop
-from linnetshift.discovery.endpoint_list import EndpointListUpdate
 from linnetshift.discovery.list_lease import ListLease
 from linnetshift.discovery.watch import Discovery
 from linnetshift.discovery.watch_timeouts import WatchTimeouts
+from linnetshift.endpoint_list.parsing import EndpointListUpdate
 from linnetshift.event_loop.connection_limits import ConnectionLimiter
 from linnetshift.event_loop.loop import Loop
 from linnetshift.frontends.channels.frontend import MAX_OPEN_CHANNELS, ChannelsFrontend
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -24,9 +24,9 @@
     UnreadableFileError,
 )
 from linnetshift.config.loader import load_proxy_file
-from linnetshift.config.names import MAX_NAMES, DiscontinuedNames, NameRegistry
 from linnetshift.config.platform_listener import platform_listener
 from linnetshift.config.proxy_file import ProxyConfig, read_config
+from linnetshift.endpoint_list.names import MAX_NAMES, DiscontinuedNames, NameRegistry
 from linnetshift.routing.settings import Settings
 
 DOCUMENT: dict[str, Any] = {
--- a/tests/test_configuration_reloader.py
+++ b/tests/test_configuration_reloader.py
@@ -20,10 +20,10 @@
 from linnetshift.config.errors import ConfigurationError
 from linnetshift.config.key_tree import KeyTree
 from linnetshift.config.loader import load_broker_file, load_proxy_file
-from linnetshift.config.names import NameRegistry
 from linnetshift.config.proxy_file import ProxyConfig
-from linnetshift.discovery.endpoint_list import EndpointListUpdate
 from linnetshift.discovery.watch import Discovery
+from linnetshift.endpoint_list.names import NameRegistry
+from linnetshift.endpoint_list.parsing import EndpointListUpdate
 from linnetshift.event_loop.address import Address
 from linnetshift.event_loop.loop import Loop
 from linnetshift.frontends.channels.frontend import ChannelsFrontend
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -15,13 +15,13 @@
 from running_proxy import RunningProxy, ranked
 
 from linnetshift.discovery.http_call import CONNECT_TIMEOUT_NS, CallEnded
-from linnetshift.discovery.list_document import MAX_DOCUMENT_BYTES
 from linnetshift.discovery.watch import (
     MAX_FULL_LIST_TIMEOUT_NS,
     MAX_TIMEOUT_DOUBLINGS,
     WAIT_AFTER_FAILURE_MS,
 )
 from linnetshift.discovery.watch_timeouts import WatchTimeouts
+from linnetshift.endpoint_list.document import MAX_DOCUMENT_BYTES
 from linnetshift.routing.actions import SetTimer
 from linnetshift.routing.balancer import Balancer
 from linnetshift.routing.events import EndpointList, ListForm
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -58,7 +58,7 @@
         (
             "sent-to-draining",
             DRAIN,
-            "discovery/endpoint_list.py",
+            "endpoint_list/parsing.py",
             '"DRAINING": EndpointState.DRAINING',
             '"DRAINING": EndpointState.READY',
         ),
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -18,14 +18,14 @@
 from running_proxy import ranked
 
 from linnetshift.broker.latency_estimator import ConnectionLoad
-from linnetshift.config.names import NameRegistry
-from linnetshift.discovery.endpoint_list import EndpointListError, parse_endpoint_list
-from linnetshift.discovery.list_document import (
+from linnetshift.endpoint_list.document import (
     MAX_DOCUMENT_BYTES,
     MAX_ENTRIES,
     MAX_FLEET_ENDPOINTS,
     decode_list,
 )
+from linnetshift.endpoint_list.names import NameRegistry
+from linnetshift.endpoint_list.parsing import EndpointListError, parse_endpoint_list
 from linnetshift.lifecycle.peer_process import MAX_MESSAGE_BYTES
 from linnetshift.lifecycle.takeover_messages import Heartbeat, PeerResources, encode_message
 from linnetshift.routing.events import EndpointState, ListForm
--- a/tests/test_reload_equals_start.py
+++ b/tests/test_reload_equals_start.py
@@ -20,7 +20,7 @@
 
 from linnetshift.broker.contracts import Contract
 from linnetshift.config.loader import load_broker_file, load_proxy_file
-from linnetshift.config.names import UNKNOWN_NUMBER
+from linnetshift.endpoint_list.names import UNKNOWN_NUMBER
 from linnetshift.lifecycle import reload
 from linnetshift.lifecycle.broker_file_state import import_broker_file
 from linnetshift.lifecycle.takeover_messages import encode_message
--- a/tests/test_reported_figures.py
+++ b/tests/test_reported_figures.py
@@ -8,8 +8,8 @@
 from conftest import raw_settings
 from proxy_harness import started_proxy
 
-from linnetshift.config.names import NameRegistry
-from linnetshift.discovery.endpoint_list import parse_endpoint_list
+from linnetshift.endpoint_list.names import NameRegistry
+from linnetshift.endpoint_list.parsing import parse_endpoint_list
 from linnetshift.routing.settings import Settings
 from linnetshift.upstream.health_checker import parse_load_report
 from linnetshift.util.figures import FigureError, parse_figure
--- a/tests/test_request_line.py
+++ b/tests/test_request_line.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from linnetshift.config.names import UNKNOWN_NUMBER, NameRegistry
+from linnetshift.endpoint_list.names import UNKNOWN_NUMBER, NameRegistry
 from linnetshift.event_loop.connection_limits import MAX_WAIT_MS
 from linnetshift.event_loop.timers import MS
 from linnetshift.frontends.line_protocol import protocol
--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -5,8 +5,8 @@
 import pytest
 from conftest import S, entry, listed
 
-from linnetshift.discovery.endpoint_list import EndpointListError
 from linnetshift.discovery.stale_list import CONFIRMATION_NS, Confirmation, StaleListFilter
+from linnetshift.endpoint_list.parsing import EndpointListError
 from linnetshift.routing.events import EndpointList, ListForm
 
 LIST_IN_USE = EndpointList(ListForm.FULL, 5, (entry(1),))
--- a/tests/test_unusable_lists.py
+++ b/tests/test_unusable_lists.py
@@ -19,13 +19,13 @@
 from proxy_harness import proxy_in_thread, started_proxy
 from running_proxy import RunningProxy, ranked
 
-from linnetshift.discovery.list_document import MAX_DOCUMENT_BYTES
 from linnetshift.discovery.unusable_lists import (
     ALLOWANCE_BYTES,
     ALLOWANCE_BYTES_PER_ENDPOINT,
     ALLOWANCE_PERIOD_NS,
     UnusableListBudget,
 )
+from linnetshift.endpoint_list.document import MAX_DOCUMENT_BYTES
 
 FULL_LIST = "/catalog/members"
 OBSERVED_S = 6.0
