Tests: a memory test that guarded nothing, and serving in every state that a reload accepts

Found when each mend was taken out on a scratch copy: test_keys_that_are_not_read... passed with the former decoder too, as its bound was over what that took. It compares lists with and without the unread keys now, keeps the old bound, and fails with the decoder taken out; the time of a turn is a test of its own.

Every new test says what it guards against. Reading a JSON answer of the admin interface stood three times and is RunningProxy.admin_document now.

--- a/tests/running_proxy.py
+++ b/tests/running_proxy.py
@@ -109,16 +109,21 @@
         conn = self.client(call.encode() + b" HTTP/1.1\r\nHost: x\r\n\r\n", self.admin_port)
         return int(conn.line().split()[1])
 
-    def resource_usage(self) -> dict[str, Any]:
-        """Size and bound of each container of the program, from the admin address."""
-        conn = self.client(b"GET /ops/census HTTP/1.1\r\nHost: x\r\n\r\n", self.admin_port)
+    def admin_document(self, path: str) -> dict[str, Any]:
+        """The JSON object that the admin address answers at a path, with status 200."""
+        conn = self.client(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode(), self.admin_port)
+        assert conn.line().split()[1] == b"200"
         while conn.line().strip():
             pass
         text = b""
         while line := conn.line():
             text += line
-        usage: dict[str, Any] = json.loads(text)
-        return usage
+        document: dict[str, Any] = json.loads(text)
+        return document
+
+    def resource_usage(self) -> dict[str, Any]:
+        """Size and bound of each container of the program."""
+        return self.admin_document("/ops/census")
 
     def unread_lines(self) -> list[str]:
         """Take the log lines since the last call of this or of `logged`."""
--- a/tests/test_admin_routes.py
+++ b/tests/test_admin_routes.py
@@ -67,6 +67,7 @@
 
 
 def test_readiness_of_a_proxy_that_does_not_serve_channels_says_so() -> None:
+    """Guards against a yes that hides that channels are not served."""
     operations = FakeOperations()
     operations.limited_by = "cannot bind 127.0.0.1:9: in use"
     answer = Response(200, "taking consumers; cannot bind 127.0.0.1:9: in use")
--- a/tests/test_configuration_reloader.py
+++ b/tests/test_configuration_reloader.py
@@ -123,6 +123,7 @@
 def test_unusable_proxy_file_changes_nothing_but_what_the_broker_file_changes(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
+    """Guards against a broken proxy file of which something is taken."""
     reloader = make_reloader()
     replace_files(monkeypatch, ConfigurationError("no"), UNUSABLE)
     config_before = reloader.config
--- a/tests/test_independent_files.py
+++ b/tests/test_independent_files.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import signal
 import socket
 from collections.abc import Iterator
@@ -24,7 +23,7 @@
     started_proxy,
     successor_of,
 )
-from running_proxy import RunningProxy, ranked
+from running_proxy import REQUEST_IDS, RunningProxy, ranked
 
 from rig.free_port import free_port
 
@@ -46,15 +45,7 @@
 
 def status(running: RunningProxy) -> dict[str, Any]:
     """What the admin interface says of the configuration files."""
-    connection = running.client(b"GET /ops/configuration HTTP/1.1\r\nHost: x\r\n\r\n", running.admin_port)
-    assert connection.line() == b"HTTP/1.1 200 \r\n"
-    while connection.line().strip():
-        pass
-    text = b""
-    while line := connection.line():
-        text += line
-    document: dict[str, Any] = json.loads(text)
-    return document
+    return running.admin_document("/ops/configuration")
 
 
 # What does not fit the proxy file: changes of its settings, and the text of the broker file at the reload.
@@ -72,6 +63,7 @@
 def test_moved_discovery_is_followed_whatever_the_broker_file_says(
     tmp_path: Path, used_port: int, misfit: str
 ) -> None:
+    """Guards against review/3: requests went to a server that drained at the new address."""
     changes, broker_toml = MISFITS[misfit]
     broker_toml = broker_toml.replace("USED", str(used_port)).replace("VRRP", str(free_port()))
     with started_proxy(
@@ -130,7 +122,39 @@
         endpoint.close()
 
 
+@pytest.mark.parametrize("misfit", MISFITS)
+def test_successor_and_fresh_start_serve_with_the_files_that_a_reload_accepted(
+    tmp_path: Path, used_port: int, misfit: str
+) -> None:
+    """Guards against a state that reloads lead to, and in which a process cannot be replaced or restarted."""
+    changes, broker_toml = MISFITS[misfit]
+    broker_toml = broker_toml.replace("USED", str(used_port)).replace("VRRP", str(free_port()))
+    other_contract = '[[contract]]\nteam = "other"\n'
+    options: dict[str, Any] = {"services": services("feed", "late"), "inherits_listener": True}
+    with started_proxy(tmp_path, 1, other_contract + CONTRACT, admin_server=True, **options) as old:
+        (tmp_path / "broker.toml").write_text(other_contract + broker_toml)
+        new_settings = settings(**{"services": services("feed", "late"), **changes})
+        old.reload("event=configuration-reloaded", settings=new_settings)
+        with successor_of(old) as successor:
+            successor.wait_until_ready()
+            assert_served(successor)
+        old.process.kill()
+        old.process.wait(WAIT_S)
+        with successor_of(old) as fresh:  # nobody is left to take over from
+            fresh.wait_until_ready()
+            assert_served(fresh)
+
+
+def assert_served(running: RunningProxy) -> None:
+    """A request of a team whose contract fits is served."""
+    client = running.client(b"OPEN %x 2 c=feed,t=other,d=2000\r\n" % next(REQUEST_IDS))
+    endpoint = running.endpoints[0].serve()
+    assert client.line() == b"UP r1\r\n"
+    endpoint.close()
+
+
 def test_missing_broker_file_does_not_keep_the_proxy_from_starting(tmp_path: Path) -> None:
+    """Guards against a start that ends with status 2."""
     with proxy_environment(tmp_path) as environment:
         process = launch_process(str(environment.config), str(tmp_path / "gone.toml"))
         running = RunningProxy(process, environment.port, environment.channels_port)
@@ -159,6 +183,7 @@
 
 
 def test_unusable_proxy_file_does_not_keep_the_broker_file_from_being_used(tmp_path: Path) -> None:
+    """Guards against contracts that stay out of force for a mistake in the other file."""
     with started_proxy(tmp_path) as running:
         (tmp_path / "broker.toml").write_text('[[contract]]\nteam = "other"\n')
         running.config.write_text("{")
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -35,6 +35,7 @@
 OTHER_KEYS = {f"other-key-{number:06}": 1.2345678901234567e-300 for number in range(12)}
 MAX_CLIENT_CONNECTIONS = 5000  # several times what a proxy's 1,024 descriptors allow
 MAX_TURN_S = 0.15  # how long a proxy may be held up (STANDING.md)
+BYTES_OF_ONE_VALUE = 24  # a decoded number takes that much; 12 of them are not read of each entry
 MAX_MEMORY_BYTES_PER_ENDPOINT = 4096  # 4 MB for each thousand servers (STANDING.md)
 
 
@@ -69,6 +70,7 @@
 def test_longest_list_of_every_form_is_within_the_bound(
     entries: int, indent: int | None, other_keys: dict[str, Any]
 ) -> None:
+    """Guards against a bound that a list in a form of the pages exceeds."""
     body = encode(entries, indent, other_keys).replace(b"\n", b"\r\n")
     assert len(body) <= MAX_DOCUMENT_BYTES
     list_update = parse_endpoint_list(decode_list(body), names())
@@ -78,20 +80,33 @@
     assert list_update.event.entries[-1].zone == 0
 
 
-def test_keys_that_are_not_read_take_no_memory_and_no_long_turn() -> None:
+def peak_bytes(body: bytes) -> int:
+    """The most that is allocated at once while the body is decoded and parsed."""
     registry = names()
-    body = encode(MAX_FLEET_ENDPOINTS, 8, OTHER_KEYS)
-    began_s = time.process_time()
-    parse_endpoint_list(decode_list(body), registry)
-    assert time.process_time() - began_s < MAX_TURN_S
     tracemalloc.start()
     try:
         list_update = parse_endpoint_list(decode_list(body), registry)
-        _, peak_bytes = tracemalloc.get_traced_memory()
+        _, peak = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
     assert len(list_update.event.entries) == MAX_FLEET_ENDPOINTS
-    assert peak_bytes < MAX_FLEET_ENDPOINTS * MAX_MEMORY_BYTES_PER_ENDPOINT
+    return peak
+
+
+def test_keys_that_are_not_read_take_no_memory() -> None:
+    """Guards against memory that grows with the body instead of with what is used of it."""
+    peak = peak_bytes(encode(MAX_FLEET_ENDPOINTS, 8, OTHER_KEYS))
+    without_other_keys = peak_bytes(encode(MAX_FLEET_ENDPOINTS, None, {}))
+    assert peak - without_other_keys < MAX_FLEET_ENDPOINTS * BYTES_OF_ONE_VALUE
+    assert peak < MAX_FLEET_ENDPOINTS * MAX_MEMORY_BYTES_PER_ENDPOINT
+
+
+def test_longest_list_is_parsed_within_the_time_that_a_proxy_may_be_held_up() -> None:
+    """Guards against a turn of the loop that makes deadlines pass."""
+    body, registry = encode(MAX_FLEET_ENDPOINTS, 8, OTHER_KEYS), names()
+    began_s = time.process_time()
+    parse_endpoint_list(decode_list(body), registry)
+    assert time.process_time() - began_s < MAX_TURN_S
 
 
 def test_heartbeat_of_a_proxy_with_the_most_connections_is_within_the_bound() -> None:
@@ -106,6 +121,7 @@
 
 @pytest.mark.parametrize("weight", ["NaN", "Infinity", "1e999"])
 def test_number_that_is_not_finite_does_not_make_the_list_unreadable(weight: str) -> None:
+    """Guards against a stricter decoder that costs a whole list for one number."""
     text = json.dumps({"rev": 1, "targets": [entry(1, capacity_hint=-1.5)]}).replace("-1.5", weight)
     (only_entry,) = parse_endpoint_list(decode_list(text.encode()), names()).event.entries
     assert only_entry.weight == 1.0
@@ -113,6 +129,7 @@
 
 @pytest.mark.parametrize("odd", [5, "text", None, [1], True, {}, {"uid": 3}])
 def test_entry_of_another_form_is_invalid_and_the_others_are_used(odd: object) -> None:
+    """Guards against a typed decoder that costs a whole list for one entry."""
     text = json.dumps({"rev": 1, "all": True, "targets": [odd, entry(1)]})
     list_update = parse_endpoint_list(decode_list(text.encode()), names())
     assert [e.endpoint for e in list_update.event.entries] == [entry(1)["uid"].encode()]
@@ -121,17 +138,20 @@
 
 @pytest.mark.parametrize("body", [b"", b"[" * 100_000, b'{"targets":[]', b"\xff"])
 def test_body_that_is_not_json_raises_a_value_error(body: bytes) -> None:
+    """Guards against a fault in the call, which contains only the errors that it names."""
     with pytest.raises(ValueError, match=r"^(Expecting|nested too deeply|'utf-8' codec)"):
         decode_list(body)
 
 
 @pytest.mark.parametrize("body", [b"[]", b"{}", b'{"targets":{}}', b"3"])
 def test_body_that_holds_no_list_is_reported_as_such(body: bytes) -> None:
+    """Guards against an answer of another form that is logged as a failed call."""
     with pytest.raises(EndpointListError, match="no list of targets"):
         parse_endpoint_list(decode_list(body), names())
 
 
 def test_document_that_is_no_list_is_reported_as_such() -> None:
+    """Guards against an error of the decoder in the proxy file or a handed-over state."""
     with pytest.raises(EndpointListError, match="no list of targets"):
         parse_endpoint_list({"targets": 3}, names())
 
--- a/tests/test_reload_equals_start.py
+++ b/tests/test_reload_equals_start.py
@@ -186,6 +186,7 @@
 def test_reloaded_started_and_replacing_process_have_one_configuration(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, seed: int
 ) -> None:
+    """Guards against names, classes or contracts that only a reloaded process has."""
     files = DrawnFiles(tmp_path, seed)
     files.write(may_be_broken=False)
     monkeypatch.setenv("GW_CONFIG", str(files.config_path))
--- a/tests/test_unusable_lists.py
+++ b/tests/test_unusable_lists.py
@@ -17,7 +17,7 @@
 from connections import WAIT_S
 from emulated_peers import DiscoveryServer, EmulatedEndpoint
 from proxy_harness import proxy_in_thread, started_proxy
-from running_proxy import RunningProxy, ranked
+from running_proxy import ranked
 
 from linnetshift.discovery.unusable_lists import (
     ALLOWANCE_BYTES,
@@ -32,6 +32,7 @@
 
 
 def test_allowance_of_one_period_may_be_spent_at_once_and_again_after_it() -> None:
+    """Guards against a wait after a single answer, and against one that never ends."""
     budget = UnusableListBudget()
     allowance = ALLOWANCE_BYTES + 3200 * ALLOWANCE_BYTES_PER_ENDPOINT
     budget.charge(allowance, 3200, 1 * S)
@@ -43,6 +44,7 @@
 
 
 def test_list_of_any_length_is_requested_again_after_one_period() -> None:
+    """Guards against a wait of hours after one answer of a wrong length."""
     budget = UnusableListBudget()
     for _ in range(3):
         budget.charge(1 << 40, 3, 1 * S)
@@ -51,6 +53,7 @@
 
 
 def test_bytes_requested_in_many_periods_keep_to_the_allowance() -> None:
+    """Guards against a budget that lets through more the longer discovery is at fault."""
     budget = UnusableListBudget()
     now, requested = 0, 0
     while now < 20 * ALLOWANCE_PERIOD_NS:
@@ -104,6 +107,7 @@
 def test_unusable_full_list_is_requested_seldom_and_drains_are_learned_meanwhile(
     tmp_path: Path, full_list: str, discovery: str
 ) -> None:
+    """Guards against calls at full speed, and against drains that are not learned of."""
     with started_proxy(tmp_path, 2, admin_server=True, discovery=discovery) as running:
         best, other = ranked(running)
         running.discovery.change()
@@ -122,25 +126,14 @@
         endpoint = other.serve()
         assert client.line() == b"UP r1\r\n"
         endpoint.close()
-        status = discovery_status(running)
+        status = running.admin_document("/ops/discovery")
         assert status["needs_full_list"]
         assert status["unusable_lists"] >= 1
         assert status["age_ms"] >= 1000 * OBSERVED_S  # changes alone do not confirm the list
 
 
-def discovery_status(running: RunningProxy) -> dict[str, Any]:
-    """What the admin interface says of the endpoint list."""
-    connection = running.client(b"GET /ops/discovery HTTP/1.1\r\nHost: x\r\n\r\n", running.admin_port)
-    while connection.line().strip():
-        pass
-    text = b""
-    while line := connection.line():
-        text += line
-    status: dict[str, Any] = json.loads(text)
-    return status
-
-
 def test_full_list_that_becomes_usable_is_used_and_confirms_the_list(tmp_path: Path) -> None:
+    """Guards against a proxy that goes on by changes for ever after one unusable list."""
     with started_proxy(tmp_path, 2, admin_server=True) as running:
         best, other = ranked(running)
         moved = DiscoveryServer(running.endpoints)
@@ -149,7 +142,7 @@
         running.reload("event=configuration-reloaded", discovery=moved.address)
         running.logged(f"event=endpoint-list-unusable path={FULL_LIST}")
         running.logged("event=endpoint-list-received form=full rev=5")
-        status = discovery_status(running)
+        status = running.admin_document("/ops/discovery")
         assert not status["needs_full_list"]
         assert status["age_ms"] < 1000 * WAIT_S
         moved.change(**{best.uid: "DRAINING"})
